Tests of the real program on loopback, and a model of a connection's states

The program is started as a process against scripted nodes and a scripted node list: every outcome of the protocol's table, bad input, pipelining, SIGTERM, stale connections, moved and drained nodes, too few descriptors. A hypothesis state machine walks one connection through random steps, and the desk is tried without sockets. Writing them found: the head limit counted whole reads, so a head of 40 KB that ended within a read was served (now each header is counted as it is parsed); max_open was read but not kept; a control character in a header would have been passed on to a node.

--- a/slatehub/cli.py
+++ b/slatehub/cli.py
@@ -54,7 +54,8 @@
     """Reads the settings as serve would, and says what is wrong; exit 2 if anything is."""
     plant = _plant()
     s = plant.settings
-    click.echo(f"{plant.name}: tier {s.tier} of {s.tiers}, {len(s.classes)} classes, {len(s.tenants)} accounts: good")
+    click.echo(f"{plant.name}: tier {s.tier} of {s.tiers}, {len(s.classes)} classes, {len(s.tenants)} accounts")
+    click.echo(f"at most {plant.sockets} descriptors, {plant.memory_mb} MB: good")
 
 
 @main.command()
@@ -66,7 +67,7 @@
     if limit > soft:
         resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
     callers, nodes = budget(limit)
-    desk = SalesDesk(plant.settings, plant.seed)
+    desk = SalesDesk(plant.settings, plant.seed, plant.max_open)
     room = MachineRoom(plant, desk, nodes)
     listing = NodeList(plant, desk, room)
     hall = OrderHall(plant, desk, callers)
--- a/slatehub/order_screens.py
+++ b/slatehub/order_screens.py
@@ -74,6 +74,7 @@
 
     def _clear(self) -> None:
         self.url = b""
+        self.size = 0  # of the head, as far as it has been reported
         self.headers: dict[str, str] = {}
         self.twice: set[str] = set()
         self.body = bytearray()
@@ -104,18 +105,30 @@
 
     def on_url(self, url: bytes) -> None:
         self.url += url
+        self.size += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         key = name.decode("latin-1").lower()
+        self.size += len(name) + len(value) + 4
+        text = value.decode("latin-1").strip()
+        if not text.replace("\t", " ").isprintable() and not self.fault:
+            self.fault = Bad(400, "control character in a header")  # some headers go on to a node as they came
         if key in self.headers:
             self.twice.add(key)
-        self.headers[key] = value.decode("latin-1").strip()
+        self.headers[key] = text
 
     def on_headers_complete(self) -> None:
         self.in_head = False
         length = self.headers.get("content-length", "0")
-        if "transfer-encoding" in self.headers and "content-length" in self.headers:
+        coding = self.headers.get("transfer-encoding")
+        if self.fault:
+            pass
+        elif self.size > HEAD_LIMIT:
+            self.fault = Bad(431, "head too large")
+        elif coding is not None and "content-length" in self.headers:
             self.fault = Bad(400, "both Content-Length and Transfer-Encoding")
+        elif coding is not None and coding.lower() != "chunked":
+            self.fault = Bad(400, "unknown Transfer-Encoding")
         elif length.isdigit() and int(length[:20]) > BODY_LIMIT:
             self.fault = Bad(413, "body over 64 KiB")
         self.expects = self.headers.get("expect", "").lower() == "100-continue"
@@ -235,7 +248,7 @@
                     return  # the server has the last word, and closes
                 if self.taker.expects:
                     self.taker.expects = False
-                    if self.idle_but_reading:
+                    if not self.serving and not self.orders.qsize():
                         self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
             self.close()  # also when only its sending side is shut: a caller that closes has gone away
         except OSError:
@@ -247,10 +260,6 @@
             if late:
                 late.off()
 
-    @property
-    def idle_but_reading(self) -> bool:
-        return not self.serving and not self.orders.qsize()
-
     def _slow(self) -> None:
         """The rest of a request is too long in coming; what was read whole before it is still answered."""
         if not self.taker.fault:
@@ -266,7 +275,8 @@
                 item = self.orders.get()
                 self.serving = True
                 status, extra, body, kind = self._reply(item)
-                last = isinstance(item, Bad) or not item.keep or self.hall.stopping
+                ahead = self.taker.busy or self.orders.qsize()  # taken, or about to be: owed an answer too
+                last = isinstance(item, Bad) or not item.keep or (self.hall.stopping and not ahead)
                 payload = b"" if isinstance(item, Request) and item.method == "HEAD" else body
                 head = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Length: {len(body)}\r\n"
                 head += f"Content-Type: {kind}\r\n" if kind and body else ""
@@ -275,7 +285,7 @@
                 self.serving = self.fresh = False
                 self.since = clock()
                 self.hall.rested(self)
-                if last or self.hall.stopping and self.idle:
+                if last:
                     break
             self._part()
         except OSError:
@@ -341,9 +351,7 @@
 
     def _part(self) -> None:
         """Ends the connection so that the last answer arrives: closing while unread bytes are left would reset it."""
-        if not self.taker.fault:
-            return
-        self.reader.kill(block=True)
+        self.reader.kill()
         self.sock.shutdown(socket.SHUT_WR)
         late = Alarm(clock() + LINGER_US, self.close)
         try:
--- a/slatehub/sales_desk.py
+++ b/slatehub/sales_desk.py
@@ -185,12 +185,10 @@
         self.jobs: dict[int, Job] = {}
         self.names: dict[str, Job] = {}
         self.last = 0
-        self.idle = Bell()  # set while no job is in hand
-        self.idle.set()
 
 
 class TakeIn:
-    """First stage: a job enters the ledger. None where its name is still in hand: two jobs under one name could
+    """First stage: a job enters the ledger. False where its name is still in hand: two jobs under one name could
     not be told apart by the machines."""
 
     def __init__(self, ledger: Ledger, overdue: Callable[[Job], None]) -> None:
@@ -204,7 +202,6 @@
         ledger.last += 1
         job.number = ledger.last
         ledger.jobs[job.number] = ledger.names[job.name] = job
-        ledger.idle.clear()
         # The module answers before this; guards against a fault that would leave the caller without an answer.
         job.alarm = Alarm(job.deadline, lambda: self.overdue(job))
         return True
@@ -264,8 +261,6 @@
             job.alarm.off()
             job.alarm = None
         self.ledger.names.pop(job.name, None)
-        if not self.ledger.names:
-            self.ledger.idle.set()
         if answer:  # None: the caller has gone
             job.screen.answer(job, answer)
         return True
@@ -293,8 +288,9 @@
 class SalesDesk:
     """Runs the chain. `open` must be called before anything else comes in."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int, most: int) -> None:
         self.settings = settings
+        self.most = most  # jobs in hand
         self.seed = seed
         self.balancer = Balancer(settings, seed)
         self.nodes: dict[int, Entry] = {}  # the list as the module holds it
@@ -322,7 +318,10 @@
         """A job has come in whole. False: its name is still in hand."""
         if not self.take_in(job):
             return False
-        self._post(job)
+        if len(self.ledger.names) > self.most:
+            self._final(job.number, Answer(Verdict.REFUSED))  # the settings turn it away before the module
+        else:
+            self._post(job)
         return True
 
     def gone(self, job: Job) -> None:
--- /dev/null
+++ b/tests/plant.py
@@ -0,0 +1,254 @@
+"""The real program on loopback, with scripted peers: nodes that do what the path of a request says, and a node list
+that hands out what the test puts in. Nothing here balances, loads or simulates."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).parents[1]
+LOOK, BUY = "job-status", "order-place"
+
+
+def settings(**allowed: Any) -> dict[str, Any]:
+    def kind(name: str, effect: str) -> dict[str, Any]:
+        return {"name": name, "idempotency": effect, "slo_us": 2500000, "hard_limit_us": 6000000}
+
+    return {
+        "allowed": {"max_attempts": 4, "may_cancel": True, "may_duplicate": False, "conn_idle_us": 30000000,
+                    "connect_timeout_us": 1000000, "probing": True, "retry_after": True,
+                    "peer_messages": False, **allowed},
+        "services": [kind(LOOK, "retryable"), kind(BUY, "fragile")],
+        "tenants": [{"name": "cantina etna", "share": 1.0, "allowance_per_s": 900.0}],
+        "obligations": {"answer_slack_us": 20000, "ask_every_us": 2000000, "cold_from": 0.3, "drain_grace_us": 2500000,
+                        "fall_multiple": 3.0, "tip_after_us": 1500000, "warm_after_us": 0},
+        "report": {"columns": ["qps", "util"], "source": "answers"},
+        "kinds": ["front-std"], "zones": ["sala-macchine"], "stages": ["front"], "me": 0, "my_zone": 0, "siblings": 1,
+        "tick_us": 5000, "tier": 0, "discovery": "on_request", "family_info": {"passes_deadline": True},
+    }  # fmt: skip
+
+
+class Peer:
+    """A listener on port 0; each connection gets a thread."""
+
+    def __init__(self) -> None:
+        self.seen: list[str] = []  # whole requests, in order
+        self.connections = 0
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                conn, _ = self.sock.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        with conn:
+            try:
+                while head := read_head(conn):
+                    body = b""
+                    while len(body) < int(field(head, "content-length") or 0):
+                        body += conn.recv(65536)
+                    self.seen.append(head + body.decode())
+                    if not self.reply(conn, head, body):
+                        return
+            except OSError:
+                pass
+
+    def reply(self, conn: socket.socket, head: str, body: bytes) -> bool:
+        raise NotImplementedError
+
+
+def read_head(conn: socket.socket) -> str:
+    data = b""
+    while not data.endswith(b"\r\n\r\n"):
+        byte = conn.recv(1)
+        if not byte:
+            return ""
+        data += byte
+    return data.decode()
+
+
+def field(head: str, name: str) -> str:
+    for line in head.split("\r\n")[1:]:
+        key, _, value = line.partition(":")
+        if key.lower() == name:
+            return value.strip()
+    return ""
+
+
+PLAIN = b"HTTP/1.1 %s\r\nX-Server-Load: qps=3.0,new=1,util=0.5\r\nContent-Length: 4\r\n%s\r\ndone"
+SCRIPT = {  # by the last part of the path: what the node writes, and whether it keeps the connection
+    "ok": (PLAIN % (b"200 OK", b""), True),
+    "early": (b"HTTP/1.1 100 Continue\r\n\r\n" + PLAIN % (b"200 OK", b""), True),
+    "chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", True),
+    "stale": (PLAIN % (b"200 OK", b""), False),  # ends without a word: only its end tells
+    "error": (PLAIN % (b"500 Internal Server Error", b""), True),
+    "odd": (PLAIN % (b"418 Teapot", b""), True),
+    "unsure": (PLAIN % (b"503 Service Unavailable", b""), True),
+    "full": (PLAIN % (b"503 Service Unavailable", b"X-Not-Processed: 1\r\n"), True),
+    "over": (PLAIN % (b"504 Gateway Timeout", b"X-Not-Processed: 1\r\n"), True),
+    "reset": (b"", False),
+    "half": (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndone", False),
+    "endless": (b"HTTP/1.1 200 OK\r\n\r\ndone", False),
+    "garbage": (b"no protocol at all\r\n\r\n", False),
+    "huge": (b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000, False),
+}
+
+
+class Node(Peer):
+    def __init__(self) -> None:
+        super().__init__()
+        self.go = threading.Event()  # lets what is asked to wait go on
+        self.waiting = threading.Semaphore(0)
+        self.left = threading.Semaphore(0)  # a waiting request's connection was closed
+
+    def reply(self, conn: socket.socket, head: str, body: bytes) -> bool:
+        action = head.split(" ")[1].partition("?")[0].rpartition("/")[2]
+        if action == "silent":
+            self.waiting.release()
+            if not conn.recv(1):
+                self.left.release()
+            return False
+        if action == "wait":
+            self.waiting.release()
+            self.go.wait(20)
+            action = "ok"
+        if action == "echo":
+            conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            return True
+        data, keep = SCRIPT[action]
+        conn.sendall(data)
+        return keep
+
+
+class Discovery(Peer):
+    """Answers the first call with its list; a watch waits for `tell`."""
+
+    def __init__(self, members: list[dict[str, Any]]) -> None:
+        self.news: list[bytes] = []
+        self.more = threading.Condition()
+        self.revision = 1
+        self.tell(members, True)
+        super().__init__()
+
+    def tell(self, members: list[dict[str, Any]], complete: bool = False) -> None:
+        self.raw(json.dumps({"revision": self.revision, "complete": complete, "members": members}).encode())
+        self.revision += 1
+
+    def raw(self, body: bytes, status: bytes = b"200 OK") -> None:
+        with self.more:
+            self.news.append(b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
+            self.more.notify()
+
+    def reply(self, conn: socket.socket, head: str, body: bytes) -> bool:
+        with self.more:
+            while not self.news:
+                self.more.wait()
+            conn.sendall(self.news.pop(0))
+        return True
+
+
+def member(node: str, address: str, phase: str = "SERVING") -> dict[str, Any]:
+    return {"id": node, "host_port": address, "locality": "sala-macchine", "flavor": "front-std", "cell": 0,
+            "phase": phase, "size": 1.0, "up_since_ms": 0}  # fmt: skip
+
+
+class Program:
+    """`slatehub serve` as a process."""
+
+    def __init__(self, tmp: Path, known: list[dict[str, Any]], discovery: str, **more: Any) -> None:
+        tree = {
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"revision": 0, "complete": True, "members": known},
+            "settings": settings(**more.pop("allowed", {})), **more,
+        }  # fmt: skip
+        path = tmp / "config.json"
+        path.write_text(json.dumps(tree))
+        self.process = subprocess.Popen(
+            [sys.executable, "-B", "-m", "slatehub", "serve"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+            env={**os.environ, "EDGE_CONFIG": str(path)},
+        )  # fmt: skip
+        assert self.process.stderr
+        line = next((x for x in self.process.stderr if " listens on " in x), "")
+        host, _, port = line.partition(" listens on ")[2].split(",")[0].rpartition(":")
+        self.peer = (host, int(port))
+        self.log: list[str] = []
+        threading.Thread(target=self.log.extend, args=(self.process.stderr,), daemon=True).start()
+
+    def connect(self) -> socket.socket:
+        return socket.create_connection(self.peer, 30)
+
+    def ask(self, data: bytes) -> tuple[int, str, bytes]:
+        with self.connect() as conn:
+            conn.sendall(data)
+            return answer(conn)
+
+
+def answer(conn: socket.socket) -> tuple[int, str, bytes]:
+    """Status, head and body of one answer."""
+    head = read_head(conn)
+    if not head:
+        raise ConnectionError("no answer")
+    body, size = b"", int(field(head, "content-length"))
+    while len(body) < size:
+        body += conn.recv(size - len(body))
+    return int(head.split(" ")[1]), head, body
+
+
+count = 0
+
+
+def order(action: str, cls: str = BUY, body: bytes = b"", method: str = "", **headers: str) -> bytes:
+    global count
+    count += 1
+    method = method or ("GET" if cls == LOOK else "POST")
+    fields = {"Host": "app.svc", "X-Request-ID": f"id{count}", "X-Priority-Class": cls, "X-Tenant-Id": "cantina etna",
+              "X-Timeout": "20000m"}  # fmt: skip
+    fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+    if method == "POST":
+        fields.setdefault("Content-Length", str(len(body)))
+    lines = "".join(f"{k}: {v}\r\n" for k, v in fields.items() if v)
+    return f"{method} /{cls}/{action} HTTP/1.1\r\n{lines}\r\n".encode() + body
+
+
+class Plant:
+    def __init__(self, program: Program, nodes: list[Node], discovery: Discovery) -> None:
+        self.program, self.nodes, self.discovery = program, nodes, discovery
+
+    @property
+    def seen(self) -> list[str]:
+        return [request for node in self.nodes for request in node.seen]
+
+
+@contextmanager
+def plant(tmp: Path, nodes: int = 1, **more: Any) -> Iterator[Plant]:
+    peers = [Node() for _ in range(nodes)]
+    for peer in peers:  # a test cannot know which of them is asked
+        peer.go, peer.waiting, peer.left = peers[0].go, peers[0].waiting, peers[0].left
+    members = [member(f"s-{i}", peer.address) for i, peer in enumerate(peers)]
+    discovery = Discovery(members)
+    program = Program(tmp, members, discovery.address, **more)
+    try:
+        yield Plant(program, peers, discovery)
+    finally:
+        for peer in peers:
+            peer.go.set()
+        program.process.kill()
+        program.process.wait()
+        for peer in (*peers, discovery):
+            peer.sock.close()
--- /dev/null
+++ b/tests/test_line.py
@@ -0,0 +1,216 @@
+"""A model of a connection's states, against which random steps are checked, and the desk without sockets."""
+
+from __future__ import annotations
+
+import gevent
+from gevent import socket
+from hypothesis import settings as hypo
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from paddlestep.interface import Entry, Fail, ListKind, Outcome, Refuse, Send, ServiceClass, Settings, Status
+from slatehub.machine_room import Broken, Line
+from slatehub.sales_desk import Alarm, Answer, Attempt, Job, SalesDesk, Verdict, clock
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+LAST = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+
+
+class LineModel(RuleBasedStateMachine):
+    """One real connection and a scripted peer. `model` is what the line must think; `peer` what the peer did."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.closes = 0
+        self.line = Line(self.listener.getsockname(), self.closed)
+        self.line.connect()
+        self.peer, _ = self.listener.accept()
+        self.model, self.gone, self.noise = "fresh", False, False
+
+    def closed(self) -> None:
+        self.closes += 1
+
+    @precondition(lambda self: self.model in ("fresh", "idle") and not self.gone and not self.noise)
+    @rule()
+    def write(self) -> None:
+        assert self.model == "fresh" or self.line.alive()
+        self.line.write(b"GET / HTTP/1.1\r\n\r\n")
+        assert self.peer.recv(100) == b"GET / HTTP/1.1\r\n\r\n" and self.line.written
+        self.model = "busy"
+
+    @precondition(lambda self: self.model == "busy" and not self.gone)
+    @rule(cut=st.integers(1, len(WHOLE) - 1), keep=st.booleans(), surplus=st.booleans())
+    def read(self, cut: int, keep: bool, surplus: bool) -> None:
+        answer = (WHOLE if keep else LAST) + (b"more" if surplus else b"")
+        self.peer.sendall(answer[:cut])
+        self.peer.sendall(answer[cut:])
+        reply = self.line.read(100)
+        assert (reply.status, bytes(reply.body)) == (200, b"ok")
+        # What follows the answer is seen at once if it came with it, and by `alive` if it comes later.
+        if reply.reusable and keep:
+            self.line.park(clock() + 60_000_000, self.line.close)
+            self.model, self.noise = "idle", surplus
+        else:
+            assert not keep or surplus
+            self.line.close()
+            self.model = "closed"
+
+    @precondition(lambda self: self.model == "busy" and not self.gone)
+    @rule(cut=st.integers(0, len(WHOLE) - 1))
+    def broken(self, cut: int) -> None:
+        self.peer.sendall(WHOLE[:cut])
+        self.peer.close()
+        self.gone = True
+        try:
+            self.line.read(100)
+            raise AssertionError("half an answer was taken for a whole one")
+        except (Broken, OSError):
+            self.line.close()
+            self.model = "closed"
+
+    @precondition(lambda self: not self.gone)
+    @rule()
+    def leave(self) -> None:
+        self.peer.close()
+        self.gone = True
+
+    @rule()
+    def close(self) -> None:
+        self.line.close()
+        self.model = "closed"
+
+    @invariant()
+    def agrees(self) -> None:
+        assert self.line.state == self.model
+        assert self.line.alive() == (self.model == "idle" and not self.gone and not self.noise)
+        assert self.closes == (self.model == "closed")
+        assert (self.line.alarm is not None) == (self.model == "idle")
+
+    def teardown(self) -> None:
+        self.line.close()
+        self.peer.close()
+        self.listener.close()
+
+
+LineModel.TestCase.settings = hypo(
+    derandomize=True, database=None, deadline=None, max_examples=60, stateful_step_count=12
+)
+TestLine = LineModel.TestCase
+
+
+class Stand:
+    """A screen, floor and list that only note what they are told."""
+
+    def __init__(self, module: object = None) -> None:
+        self.answers: list[tuple[str, Answer]] = []
+        self.attempts: list[Attempt] = []
+        self.events: list[object] = []
+        settings = Settings((ServiceClass("orders"),), may_cancel=True)
+        self.desk = SalesDesk(settings, 1, 100)
+        if module:
+            self.desk.balancer = module  # type: ignore[assignment]
+        self.desk.open(self, self)
+
+    def answer(self, job: Job, answer: Answer) -> None:
+        self.answers.append((job.name, answer))
+
+    def send(self, attempt: Attempt) -> None:
+        self.attempts.append(attempt)
+
+    def withdraw(self, attempt: Attempt) -> None:
+        self.desk.ended(attempt, Status.CANCELLED)
+
+    def probe(self, endpoint: int) -> None: ...
+
+    def watch(self, on: bool) -> None: ...
+
+    def job(self, name: str, left: int = 10_000_000) -> Job:
+        job = Job(name, 0, 0, clock() + left, None, self)
+        assert self.desk.order(job)
+        gevent.sleep(0)
+        return job
+
+
+def rest() -> None:
+    for _ in range(4):
+        gevent.sleep(0)
+
+
+def test_each_job_gets_one_answer_and_each_send_one_outcome() -> None:
+    stand = Stand()
+    stand.desk.listed(ListKind.FULL, 1, (Entry(1),))
+    stand.job("a")
+    rest()
+    (attempt,) = stand.attempts
+    stand.desk.ended(attempt, Status.OK, (), "print")
+    stand.desk.ended(attempt, Status.RESET)
+    rest()
+    assert stand.answers == [("a", Answer(Verdict.SERVED, "print"))]
+    assert not stand.desk.ledger.jobs and not stand.desk.balancer.requests
+
+
+class Script:
+    """A module that does as it is told, to see what the desk makes of odd actions."""
+
+    def __init__(self, *actions: object) -> None:
+        self.actions = list(actions)
+        self.events: list[object] = []
+
+    def handle(self, now: int, events: list[object]) -> list[object]:
+        self.events += events
+        action = self.actions.pop(0) if self.actions else []
+        if isinstance(action, Exception):
+            raise action
+        return [action] if not isinstance(action, list) else action
+
+
+def test_a_send_after_the_end_is_moot_and_later_answers_are_dropped() -> None:
+    module = Script([Refuse(1, 250_000), Fail(1), Send(1, 1)])
+    stand = Stand(module)
+    stand.job("a")
+    rest()
+    assert stand.answers == [("a", Answer(Verdict.REFUSED, None, 250_000))]
+    assert not stand.attempts and not stand.desk.ledger.jobs
+
+
+def test_sends_beyond_the_most_are_moot() -> None:
+    module = Script([Send(1, 1)] * 4)
+    stand = Stand(module)
+    stand.job("a")
+    rest()
+    moot = [e for e in module.events if isinstance(e, Outcome)]
+    assert len(stand.attempts) == 3 and [(e.status, e.attempt, e.closed) for e in moot] == [(Status.MOOT, 3, False)]
+
+
+def test_a_failed_module_answers_all_in_hand_and_a_new_one_goes_on() -> None:
+    stand = Stand(Script(Send(1, 1), ValueError("odd")))
+    stand.desk.nodes[1] = Entry(1)
+    stand.job("a")
+    rest()
+    stand.job("b")
+    rest()
+    assert [name for name, _ in stand.answers] == ["a", "b"]
+    assert {answer.verdict for _, answer in stand.answers} == {Verdict.FAILED}
+    stand.job("c")
+    rest()
+    assert [a.job.name for a in stand.attempts] == ["a", "c"]
+
+
+def test_a_job_that_the_module_forgets_is_answered_at_its_deadline() -> None:
+    stand = Stand(Script())
+    job = stand.job("a", left=20_000)
+    while not stand.answers:
+        gevent.sleep(0.005)
+    assert stand.answers == [("a", Answer(Verdict.OVERDUE))] and clock() >= job.deadline
+
+
+def test_an_alarm_never_rings_early_though_the_loop_looks_at_a_stale_clock() -> None:
+    rung: list[int] = []
+    due = clock() + 30_000
+    Alarm(due, lambda: rung.append(clock()))
+    while clock() < due - 10_000:  # keeps the loop from looking at the clock
+        pass
+    while not rung:
+        gevent.sleep(0.001)
+    assert rung[0] >= due
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,263 @@
+"""The real program on loopback sockets against scripted peers. What is waited for is an event, never a time."""
+
+from __future__ import annotations
+
+import json
+import os
+import select
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+from plant import BUY, LOOK, ROOT, Plant, answer, field, member, order, plant, settings
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Plant]:
+    with plant(tmp_path_factory.mktemp("plant")) as p:
+        yield p
+
+
+def sent(p: Plant, data: bytes) -> tuple[int, bytes, int]:
+    """Status and body of an answer, and how often it met a node."""
+    before = len(p.seen)
+    status, _, body = p.program.ask(data)
+    return status, body, len(p.seen) - before
+
+
+@pytest.mark.parametrize("action", ["ok", "early", "chunks", "stale"])
+def test_served_is_the_nodes_body_unchanged(shared: Plant, action: str) -> None:
+    assert sent(shared, order(action)) == (200, b"abcde" if action == "chunks" else b"done", 1)
+
+
+@pytest.mark.parametrize("action", ["error", "odd", "unsure", "reset", "half", "endless", "garbage", "huge"])
+def test_what_may_have_run_fails_and_never_goes_out_again(tmp_path: Path, action: str) -> None:
+    with plant(tmp_path, nodes=2) as p:
+        assert sent(p, order(action))[::2] == (500, 1)
+        assert sent(p, order("ok")) == (200, b"done", 1)
+
+
+@pytest.mark.parametrize("action", ["full", "over"])
+def test_what_never_ran_is_tried_again_and_then_refused(tmp_path: Path, action: str) -> None:
+    with plant(tmp_path, nodes=2) as p:
+        assert sent(p, order(action))[::2] == (503, 4)
+
+
+def test_what_is_safe_is_tried_again_after_an_error(tmp_path: Path) -> None:
+    with plant(tmp_path, nodes=2) as p:
+        for _ in range(12):  # the module's retry budget starts with one and grows by a tenth a request
+            assert sent(p, order("ok", LOOK))[::2] == (200, 1)
+        status, _, attempts = sent(p, order("error", LOOK))
+        assert status in (500, 503) and attempts > 1
+
+
+def test_a_request_goes_on_as_it_came_with_the_time_left(shared: Plant) -> None:
+    body = bytes(range(32, 127)) * 600  # larger than one read
+    data = order("echo?k=1&x=%20", body=body, X_Request_ID="one-id", X_Attrs="a=1,b=2", X_Timeout="9000000u")
+    assert shared.program.ask(data)[::2] == (200, body)
+    seen = shared.seen[-1]
+    assert seen.startswith(f"POST /{BUY}/echo?k=1&x=%20 HTTP/1.1\r\n")
+    assert (field(seen, "x-request-id"), field(seen, "x-attrs")) == ("one-id", "a=1,b=2")
+    left = field(seen, "x-timeout")
+    assert left.endswith("u") and 0 < int(left[:-1]) < 9_000_000
+
+
+def test_a_silent_node_is_given_up_at_the_deadline(shared: Plant) -> None:
+    status, _, attempts = sent(shared, order("silent", X_Timeout="300m"))
+    assert status in (500, 504) and attempts == 1 and shared.nodes[0].waiting.acquire(timeout=20)
+    assert shared.nodes[0].left.acquire(timeout=20)  # giving up closes the connection
+
+
+def test_a_client_that_goes_away_takes_its_attempt_along(shared: Plant) -> None:
+    node = shared.nodes[0]
+    with shared.program.connect() as conn:
+        conn.sendall(order("silent", X_Request_ID="leaver"))
+        assert node.waiting.acquire(timeout=20)
+    assert node.left.acquire(timeout=20)
+    assert sent(shared, order("ok", X_Request_ID="leaver")) == (200, b"done", 1)  # no longer in hand
+
+
+BAD = {
+    "no http": (400, b"\x16\x03\x01 hello\r\n\r\n"),
+    "bad length": (400, order("ok", Content_Length="4x")),
+    "both framings": (400, order("ok", Transfer_Encoding="chunked")),
+    "other coding": (400, order("ok", Content_Length="", Transfer_Encoding="gzip, chunked")),
+    "unknown class": (400, order("ok", X_Priority_Class="harvest")),
+    "class and path": (400, order("ok", X_Priority_Class=LOOK, method="GET")),
+    "no class": (404, b"GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n"),
+    "wrong method": (405, order("ok", LOOK, method="POST")),
+    "body with GET": (400, order("ok", LOOK, Content_Length="2") + b"ab"),
+    "no id": (400, order("ok", X_Request_ID="")),
+    "bad id": (400, order("ok", X_Request_ID="a b")),
+    "two ids": (400, order("ok", X_Request_ID="a\r\nX-Request-ID: b")),
+    "control character": (400, order("ok", X_Attrs="a\x01b")),
+    "no timeout": (400, order("ok", X_Timeout="")),
+    "bad timeout": (400, order("ok", X_Timeout="5s")),
+    "unknown tenant": (400, order("ok", X_Tenant_Id="nobody")),
+    "large length": (413, order("ok", Content_Length="65537")),
+    "large chunks": (413, order("ok", Content_Length="", Transfer_Encoding="chunked") + b"10001\r\n" + b"x" * 65537),
+    "large head": (431, order("ok", X_Attrs="x" * 40000)),
+    "endless head": (431, order("ok")[:-2] + b"X-Attrs: " + b"x" * 40000),
+}
+
+
+@pytest.mark.parametrize("case", BAD)
+def test_bad_input_gets_a_plain_4xx_and_never_reaches_a_node(shared: Plant, case: str) -> None:
+    status, data = BAD[case]
+    assert sent(shared, data)[::2] == (status, 0)
+
+
+def test_an_id_still_in_hand_is_a_conflict_and_pipelined_requests_wait_their_turn(shared: Plant) -> None:
+    node = shared.nodes[0]
+    with shared.program.connect() as conn:
+        conn.sendall(order("wait", X_Request_ID="twin") + order("echo", body=b"second") + b"BAD\r\n\r\n")
+        assert node.waiting.acquire(timeout=20)
+        assert sent(shared, order("ok", X_Request_ID="twin"))[::2] == (409, 0)
+        node.go.set()
+        assert [answer(conn)[::2] for _ in range(2)] == [(200, b"done"), (200, b"second")]
+        assert answer(conn)[0] == 400 and conn.recv(1) == b""
+        node.go.clear()
+
+
+def test_a_caller_asked_to_wait_for_100_is_told_to_go_on(shared: Plant) -> None:
+    with shared.program.connect() as conn:
+        data = order("echo", body=b"abc", Expect="100-continue")
+        conn.sendall(data[:-3])
+        assert conn.recv(25, socket.MSG_WAITALL) == b"HTTP/1.1 100 Continue\r\n\r\n"
+        conn.sendall(b"abc")
+        assert answer(conn)[::2] == (200, b"abc")
+
+
+def test_connections_are_reused_and_a_stale_one_is_not(tmp_path: Path) -> None:
+    with plant(tmp_path) as p:
+        for _ in range(3):
+            assert sent(p, order("ok"))[0] == 200
+        assert p.nodes[0].connections == 1
+        # The node ends the connection after this answer; written to, it would end an unsafe request as a reset.
+        assert sent(p, order("stale"))[0] == 200
+        assert sent(p, order("ok"))[0] == 200
+        assert p.nodes[0].connections == 2
+
+
+def test_a_node_that_takes_no_connection_is_passed_over(tmp_path: Path) -> None:
+    with plant(tmp_path, nodes=2) as p:
+        p.nodes[0].sock.shutdown(socket.SHUT_RDWR)
+        p.nodes[0].sock.close()
+        assert {sent(p, order("ok"))[0] for _ in range(6)} == {200}
+        assert len(p.nodes[1].seen) == 6
+
+
+def test_the_list_is_followed(tmp_path: Path) -> None:
+    with plant(tmp_path, nodes=2) as p:
+        first, second = (member(f"s-{i}", node.address) for i, node in enumerate(p.nodes))
+        calls = p.discovery.seen
+
+        def told() -> None:
+            """Returns once the news has been taken in: the next watch names its revision."""
+            wanted = f"since={p.discovery.revision - 1}&"
+            for _ in range(6000):
+                if any(wanted in call for call in list(calls)):
+                    return
+                time.sleep(0.005)
+            raise AssertionError(f"never asked {wanted}")
+
+        told()
+        p.discovery.tell([{**first, "phase": "DRAINING"}])
+        told()
+        assert {sent(p, order("ok"))[0] for _ in range(4)} == {200} and not p.nodes[0].seen
+        p.discovery.tell([first, {**second, "phase": "DELETED"}])
+        told()
+        assert {sent(p, order("ok"))[0] for _ in range(4)} == {200} and len(p.nodes[0].seen) == 4
+        p.discovery.raw(b"{}", b"503 Service Unavailable")  # a failure is asked again, and changes nothing
+        p.discovery.tell([{**second, "host_port": p.nodes[0].address}], complete=True)  # the address has moved
+        told()
+        assert {sent(p, order("ok"))[0] for _ in range(4)} == {200} and len(p.nodes[0].seen) == 8
+        p.discovery.raw(b'{"revision": 9, "complete": false, "members": [{"id": 3}]}')  # cannot be read: ask for all
+        p.discovery.tell([second], complete=True)
+        told()
+        assert sent(p, order("ok"))[0] == 200 and len(p.nodes[1].seen) == 5
+
+
+def test_sigterm_finishes_what_is_in_hand_and_still_takes_newcomers(tmp_path: Path) -> None:
+    with plant(tmp_path, nodes=2) as p, ThreadPoolExecutor() as pool:
+        process, node = p.program.process, p.nodes[0]
+        with p.program.connect() as idle, p.program.connect() as late:
+            for conn in (idle, late):
+                conn.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert answer(conn)[0] == 200
+            late.sendall(order("ok")[:-2])  # the rest comes after SIGTERM
+            held = pool.submit(p.program.ask, order("wait"))
+            assert node.waiting.acquire(timeout=20)
+            process.send_signal(signal.SIGTERM)
+            assert idle.recv(1) == b""  # an idle connection is closed at once
+            assert p.program.ask(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")[0] == 503
+            status, head, _ = p.program.ask(order("ok"))
+            assert (status, field(head, "connection")) == (200, "close")
+            late.sendall(b"\r\n")
+            assert answer(late)[0] == 200
+            assert process.poll() is None
+            node.go.set()
+            status, head, body = held.result(20)
+            assert (status, field(head, "connection"), body) == (200, "close", b"done")
+        assert process.wait(20) == 0
+
+
+def test_no_descriptors_left_neither_spins_nor_crashes(tmp_path: Path) -> None:
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
+    with plant(tmp_path, limits=limits) as p:
+        crowd = [p.program.connect() for _ in range(100)]  # more than it may hold; the idle ones make room
+        assert sent(p, order("ok"))[0] == 200
+        closed = select.select(crowd, [], [], 20)[0]
+        assert closed and all(conn.recv(1) == b"" for conn in closed)
+        for conn in crowd:
+            conn.close()
+        assert p.program.process.poll() is None
+
+
+def test_more_jobs_than_allowed_are_refused_at_once(tmp_path: Path) -> None:
+    with plant(tmp_path, nodes=2, allowed={"max_open": 1}) as p, ThreadPoolExecutor() as pool:
+        held = pool.submit(p.program.ask, order("wait"))
+        assert p.nodes[0].waiting.acquire(timeout=20)
+        assert sent(p, order("ok"))[::2] == (503, 0)
+        p.nodes[0].go.set()
+        assert held.result(20)[0] == 200
+
+
+def run(tmp_path: Path, command: str, **change: object) -> subprocess.CompletedProcess[str]:
+    tree = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ff", "settings": settings()}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({**tree, **change}))
+    environ = {**os.environ, "EDGE_CONFIG": str(path)}
+    argv = [sys.executable, "-B", "-m", "slatehub", command]
+    return subprocess.run(argv, cwd=ROOT, env=environ, capture_output=True, text=True, timeout=60)
+
+
+@pytest.mark.parametrize(
+    ("key", "change"),
+    [
+        ("seed", {"seed": "xyz"}),
+        ("listen", {"listen": "nowhere"}),
+        ("limits.sockets", {"limits": {"sockets": 3}}),
+        ("services.0.slo_us", {"settings": {**settings(), "services": [{"name": "a", "idempotency": "fragile"}]}}),
+        ("settings.tenants", {"settings": {**settings(), "tenants": [{"name": "a"}, {"name": "a"}]}}),
+        ("known", {"known": {"members": [{"id": "s-1", "phase": "ASLEEP"}]}}),
+    ],
+)
+def test_a_faulty_key_is_named_with_exit_2(tmp_path: Path, key: str, change: dict[str, object]) -> None:
+    done = run(tmp_path, "serve", **change)
+    assert done.returncode == 2 and key in done.stderr and "Traceback" not in done.stderr
+
+
+def test_check_config_and_version(tmp_path: Path) -> None:
+    assert run(tmp_path, "check-config").returncode == 0
+    assert run(tmp_path, "version").stdout.startswith("slatehub ")
+
+
+def test_the_program_logs_no_fault(shared: Plant) -> None:
+    assert not [line for line in shared.program.log if "fault" in line or "Traceback" in line]
