Bound trailers and chunk framing, ignore headers in trailers, faster word on a dead discovery

Seen: only headers were counted, so a trailer without end or one-byte chunks with long extensions would have been buffered for as long as the caller's ten seconds; a trailer X-Request-ID passed for a header; an Upgrade request was served and then told 400. A connect to a silent discovery waited 23 s, now 1 s. Checked by tests that fail without the change.

--- a/slatehub/machine_room.py
+++ b/slatehub/machine_room.py
@@ -22,6 +22,7 @@
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
 PIECE = 16 * 1024  # read at once
+RAW_LIMIT = HEAD_LIMIT + 8 * BODY_LIMIT  # one message with the framing of its chunks and its trailers
 CLOSE_EARLY_US = 1_000_000  # before the node closes an idle connection itself
 PROBE_US = 1_000_000
 OUT_OF_FILES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -65,7 +66,7 @@
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = bytearray()
-        self.head = 0  # bytes read before the body began
+        self.raw = 0  # bytes read, framing and all
         self.whole = False
         self.framed = False
         self.surplus = False
@@ -75,10 +76,9 @@
         if self.whole or self.surplus:
             self.surplus = True
             return
-        if not self.framed:
-            self.head += len(data)
-            if self.head > HEAD_LIMIT + PIECE:
-                raise Broken("head too large")
+        self.raw += len(data)
+        if self.raw > HEAD_LIMIT + (8 * self.limit if self.framed else PIECE):
+            raise Broken("too many bytes")
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
@@ -91,10 +91,11 @@
     def on_message_begin(self) -> None:
         if self.whole:
             self.surplus = True
-        self.headers = {}
+        else:
+            self.headers = {}
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.whole:
+        if not self.framed:  # what comes later is a trailer, or not asked for
             self.headers[name.decode("latin-1").lower()] = value.decode("latin-1").strip()
 
     def on_headers_complete(self) -> None:
--- a/slatehub/node_list.py
+++ b/slatehub/node_list.py
@@ -17,7 +17,8 @@
 from .sales_desk import Alarm, SalesDesk, clock, say
 
 WAIT_MS = 20_000  # a watch with nothing to tell; many proxies share one discovery, which answers them in turn
-PATIENCE_US = 3_000_000  # beyond that wait: then discovery, or the way to it, is dead
+PATIENCE_US = 2_000_000  # beyond that wait: then discovery, or the way to it, is dead
+CONNECT_US = 1_000_000  # discovery may be slow, but its machine takes a connection at once or not at all
 LIST_LIMIT = 4 * 1024 * 1024
 PHASES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 
@@ -68,18 +69,25 @@
                 self.desk.listed(ListKind.FAILED)
 
     def _ask(self) -> Any:
-        target = "/v1/endpoints"
+        target, limit = "/v1/endpoints", PATIENCE_US
         if self.revision is not None:
+            limit += WAIT_MS * 1000
             target += f"?since={self.revision}&timeout_ms={WAIT_MS}"
         watcher = self.watcher
         assert watcher is not None
-        late = Alarm(clock() + WAIT_MS * 1000 + PATIENCE_US, lambda: watcher.kill(Broken("no answer"), block=False))
+
+        def give_up() -> None:
+            watcher.kill(Broken("no answer"), block=False)
+
+        late = Alarm(clock() + CONNECT_US, give_up)
         try:
             if self.line and not self.line.alive():
                 self._hang_up()
             if not self.line:
                 self.line = Line(self.plant.discovery, lambda: None)
                 self.line.connect()
+            late.off()
+            late = Alarm(clock() + limit, give_up)
             self.line.write(Order("GET", target, ()).to_bytes(host_of(self.plant.discovery)))
             reply = self.line.read(LIST_LIMIT)
             if reply.reusable:
--- a/slatehub/order_screens.py
+++ b/slatehub/order_screens.py
@@ -18,7 +18,7 @@
 from paddlestep.interface import Effect
 
 from .config import Plant
-from .machine_room import BODY_LIMIT, HEAD_LIMIT, OUT_OF_FILES, PIECE, Order, Printed
+from .machine_room import BODY_LIMIT, HEAD_LIMIT, OUT_OF_FILES, PIECE, RAW_LIMIT, Order, Printed
 from .sales_desk import Alarm, Answer, Job, SalesDesk, Verdict, clock, say
 
 SLOW_US = 10_000_000  # for the rest of a request once begun, and for a caller to take its answer
@@ -67,7 +67,7 @@
         self.done: list[Request | Bad] = []
         self.busy = False  # within a request
         self.in_head = False
-        self.head = 0
+        self.raw = 0  # bytes since the last whole request
         self.expects = False
         self.fault: Bad | None = None
         self._clear()
@@ -87,15 +87,12 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.fault = self.fault or Bad(400, "malformed request")
-        if len(self.done) > whole:
-            self.head = 0
-        if self.in_head or not self.busy:
-            # Also what the parser holds back: a header that never ends is not reported by it.
-            self.head += len(data)
-            if self.head > HEAD_LIMIT + PIECE:
-                self.fault = self.fault or Bad(431, "head too large")
-        else:
-            self.head = 0
+        self.raw = (0 if len(self.done) > whole else self.raw) + len(data)
+        # What the parser holds back counts too: a header or trailer that never ends is not reported by it.
+        if self.raw > HEAD_LIMIT + PIECE and (self.in_head or not self.busy):
+            self.fault = self.fault or Bad(431, "head too large")
+        elif self.raw > RAW_LIMIT:
+            self.fault = self.fault or Bad(413, "too many bytes for one request")
         if self.fault:
             self.done.append(self.fault)
 
@@ -108,6 +105,8 @@
         self.size += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.in_head:
+            return  # a trailer: it must not pass for a header
         key = name.decode("latin-1").lower()
         self.size += len(name) + len(value) + 4
         text = value.decode("latin-1").strip()
@@ -123,6 +122,8 @@
         coding = self.headers.get("transfer-encoding")
         if self.fault:
             pass
+        elif self.parser.should_upgrade():
+            self.fault = Bad(400, "no other protocol is spoken here")
         elif self.size > HEAD_LIMIT:
             self.fault = Bad(431, "head too large")
         elif coding is not None and "content-length" in self.headers:
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -2,26 +2,37 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+from typing import Any
+
 import gevent
+import pytest
 from gevent import socket
 from hypothesis import settings as hypo
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from paddlestep.interface import Entry, Fail, ListKind, Outcome, Refuse, Send, ServiceClass, Settings, Status
-from slatehub.machine_room import Broken, Line
+from slatehub.machine_room import Broken, Line, MachineRoom, Order
 from slatehub.sales_desk import Alarm, Answer, Attempt, Job, SalesDesk, Verdict, clock
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 LAST = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
 
 
+def listen() -> Any:
+    sock = socket.socket()  # gevent's; its create_server would give a socket that blocks the loop
+    sock.bind(("127.0.0.1", 0))
+    sock.listen()
+    return sock
+
+
 class LineModel(RuleBasedStateMachine):
     """One real connection and a scripted peer. `model` is what the line must think; `peer` what the peer did."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener = listen()
         self.closes = 0
         self.line = Line(self.listener.getsockname(), self.closed)
         self.line.connect()
@@ -105,7 +116,6 @@
     def __init__(self, module: object = None) -> None:
         self.answers: list[tuple[str, Answer]] = []
         self.attempts: list[Attempt] = []
-        self.events: list[object] = []
         settings = Settings((ServiceClass("orders"),), may_cancel=True)
         self.desk = SalesDesk(settings, 1, 100)
         if module:
@@ -126,7 +136,7 @@
     def watch(self, on: bool) -> None: ...
 
     def job(self, name: str, left: int = 10_000_000) -> Job:
-        job = Job(name, 0, 0, clock() + left, None, self)
+        job = Job(name, 0, 0, clock() + left, Order("POST", "/orders", ()), self)
         assert self.desk.order(job)
         gevent.sleep(0)
         return job
@@ -150,6 +160,78 @@
     assert not stand.desk.ledger.jobs and not stand.desk.balancer.requests
 
 
+def room_for(stand: Stand, peer: Any, most: int = 9) -> MachineRoom:
+    told = Settings((ServiceClass("orders"),), report_columns=("qps", "util"))
+    plant: Any = SimpleNamespace(settings=told, idle_us=30_000_000, reports=True)
+    room = MachineRoom(plant, stand.desk, most)
+    room.place(1, peer.getsockname())
+    return room
+
+
+def test_a_node_told_to_drain_while_the_connection_comes_up_gets_nothing_written() -> None:
+    with listen() as peer:
+        module = Script(Send(1, 1))
+        stand = Stand(module)
+        room = room_for(stand, peer)
+        stand.job("a")
+        rest()
+        room.send(stand.attempts[0])
+        stand.desk.left[1] = clock()
+        conn, _ = peer.accept()
+        assert conn.recv(100) == b""
+        rest()
+        assert [e.status for e in module.events if isinstance(e, Outcome)] == [Status.MOOT] and room.lines == 0
+
+
+def test_too_many_connections_fail_the_attempt_as_never_run_unless_an_idle_one_makes_room() -> None:
+    with listen() as peer, listen() as other:
+        module = Script(Send(1, 1), Send(1, 2))
+        stand = Stand(module)
+        room = room_for(stand, peer, most=1)
+        room.place(2, other.getsockname())
+        spare = room.open(room.machines[1])
+        stand.job("a")
+        rest()
+        room.send(stand.attempts[0])
+        rest()
+        assert [e.status for e in module.events if isinstance(e, Outcome)] == [Status.CONNECT_FAILED]
+        spare.connect()
+        spare.write(b"GET / HTTP/1.1\r\n\r\n")
+        room.park(room.machines[1], spare, 1)
+        room.send(stand.attempts[1])
+        conn, _ = other.accept()
+        assert conn.recv(100).startswith(b"POST /orders") and spare.state == "closed" and room.lines == 1
+        room.withdraw(stand.attempts[1])
+
+
+@pytest.mark.parametrize(
+    ("head", "status", "report"),
+    [("200 OK", Status.OK, (3.0, 0.5)), ("503 No", Status.FULL, (3.0, 0.5)), ("404 No", Status.ERROR, (3.0, 0.5)),
+     ("what", Status.RESET, ())],
+)  # fmt: skip
+def test_a_probe_reads_the_report_by_the_columns_of_the_settings(
+    head: str, status: Status, report: tuple[float, ...]
+) -> None:
+    with listen() as peer:
+        stand = Stand(Script())
+        probed: list[Any] = []
+        stand.desk.probed = lambda *found: probed.append(found)  # type: ignore[method-assign]
+        room = room_for(stand, peer)
+        room.probe(1)
+        conn, _ = peer.accept()
+        assert conn.recv(100).startswith(b"GET /status/load HTTP/1.1")
+        conn.sendall(f"HTTP/1.1 {head}\r\nContent-Length: 25\r\n\r\nutil=0.5,inflight=7,qps=3".encode())
+        while not probed:
+            gevent.sleep(0)
+        assert (probed[0][1], probed[0][3]) == (status, report)
+
+
+@pytest.mark.parametrize("text", ["", "qps=3", "qps=3,util=much", "inflight=7"])
+def test_half_a_report_is_none(text: str) -> None:
+    with listen() as peer:
+        assert room_for(Stand(Script()), peer).report(text) == ()
+
+
 class Script:
     """A module that does as it is told, to see what the desk makes of odd actions."""
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -83,6 +83,8 @@
     assert sent(shared, order("ok", X_Request_ID="leaver")) == (200, b"done", 1)  # no longer in hand
 
 
+PIECES = {"Content_Length": "", "Transfer_Encoding": "chunked"}
+CHUNKED = order("ok", **PIECES)
 BAD = {
     "no http": (400, b"\x16\x03\x01 hello\r\n\r\n"),
     "bad length": (400, order("ok", Content_Length="4x")),
@@ -101,8 +103,13 @@
     "bad timeout": (400, order("ok", X_Timeout="5s")),
     "unknown tenant": (400, order("ok", X_Tenant_Id="nobody")),
     "large length": (413, order("ok", Content_Length="65537")),
-    "large chunks": (413, order("ok", Content_Length="", Transfer_Encoding="chunked") + b"10001\r\n" + b"x" * 65537),
+    "large chunks": (413, CHUNKED + b"10001\r\n" + b"x" * 65537),
     "large head": (431, order("ok", X_Attrs="x" * 40000)),
+    "many large headers": (431, order("ok", X_Attrs="x" * 9000, X_Other="x" * 9000)),
+    "endless trailer": (413, CHUNKED + b"0\r\nX-Attrs: " + b"x" * 600_000),
+    "tiny chunks": (413, CHUNKED + b"01;%b\r\nx\r\n" % (b"x" * 60) * 9000),
+    "id in a trailer": (400, order("ok", **PIECES, X_Request_ID="") + b"0\r\nX-Request-ID: late\r\n\r\n"),
+    "other protocol": (400, order("ok", Connection="Upgrade", Upgrade="h2c")),
     "endless head": (431, order("ok")[:-2] + b"X-Attrs: " + b"x" * 40000),
 }
 
