Callers bounded by memory too; callers that never finish a request make room for others

Seen in review and by test: at the callers' limit only idle connections made room, so as many callers as fit, each with the first bytes of a request, kept all others out for ten seconds; now the longest rested of them gives way, as a request not whole is not taken yet. Room was made before anybody stood at the door, so the limit was one lower and somebody was closed for nothing: accept comes first now. Four requests ahead on 595 connections could hold more than 192 MB of bodies: one ahead now, the body is held once, and the callers' limit follows memory_mb (422 at 192 MB). A connection that never comes up now has a test too.

--- a/slatehub/cli.py
+++ b/slatehub/cli.py
@@ -31,10 +31,15 @@
         sys.exit(2)
 
 
-def budget(sockets: int) -> tuple[int, int]:
-    """How many descriptors callers and nodes may have each. Nodes get less: their connections are used in turn."""
+OWN_MB = 60  # the program itself with its nodes and its list
+CALLER_KB = 5 * 64  # one that sends ahead: bodies read, next and under way, the answer, and that answer on its way
+
+
+def budget(sockets: int, memory_mb: int) -> tuple[int, int]:
+    """How many descriptors callers and nodes may have each. Callers get more, as the connections to nodes are used in
+    turn, but no more than fit into the memory when all of them send the largest bodies ahead of their turn."""
     spare = sockets - OWN_FILES
-    callers = spare * 3 // 5
+    callers = max(8, min(spare * 3 // 5, (memory_mb - OWN_MB) * 1024 // CALLER_KB))
     return callers, spare - callers
 
 
@@ -66,7 +71,7 @@
     limit = plant.sockets if hard == resource.RLIM_INFINITY else min(plant.sockets, hard)
     if limit > soft:
         resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
-    callers, nodes = budget(limit)
+    callers, nodes = budget(limit, plant.memory_mb)
     desk = SalesDesk(plant.settings, plant.seed, plant.max_open)
     room = MachineRoom(plant, desk, nodes)
     listing = NodeList(plant, desk, room)
--- a/slatehub/order_screens.py
+++ b/slatehub/order_screens.py
@@ -23,7 +23,7 @@
 
 SLOW_US = 10_000_000  # for the rest of a request once begun, and for a caller to take its answer
 LINGER_US = 1_000_000  # for a caller to stop sending after an answer that ends the connection
-AHEAD = 4  # pipelined requests read before their turn
+AHEAD = 1  # pipelined requests kept before their turn; what comes after them stays with the kernel
 MARGIN_US = 5_000  # an answer must have reached the caller by its time, not just have left here
 LISTEN_ON_US = 1_000_000  # after SIGTERM
 NEWCOMER_US = 500_000  # while stopping, for the first request on a connection just made
@@ -158,6 +158,7 @@
                 bool(self.parser.should_keep_alive()),
             )
         )
+        self._clear()  # the body is held once
 
 
 def check(request: Request, plant: Plant) -> tuple[int, int, int] | Bad:
@@ -210,7 +211,12 @@
 
     @property
     def idle(self) -> bool:
-        return not (self.serving or self.taker.busy or self.orders.qsize())
+        return not (self.owed or self.taker.busy)
+
+    @property
+    def owed(self) -> bool:
+        """Whether a whole request has come that is not yet answered."""
+        return self.serving or self.orders.qsize() > 0
 
     def answer(self, job: Job, answer: Answer) -> None:
         self.result.set(answer)
@@ -249,7 +255,7 @@
                     return  # the server has the last word, and closes
                 if self.taker.expects:
                     self.taker.expects = False
-                    if not self.serving and not self.orders.qsize():
+                    if not self.owed:
                         self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
             self.close()  # also when only its sending side is shut: a caller that closes has gone away
         except OSError:
@@ -398,9 +404,6 @@
 
     def _accept(self) -> None:
         while True:
-            if len(self.screens) >= self.most and not self._make_room():
-                gevent.sleep(0.02)  # all are at work; the next caller waits in the kernel's queue
-                continue
             try:
                 sock, _ = self.listener.accept()
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -413,14 +416,18 @@
                     self._make_room()
                     gevent.sleep(0.05)
                 continue
+            # Only now, with somebody at the door, is anyone asked to leave.
+            while len(self.screens) >= self.most and not self._make_room():
+                gevent.sleep(0.02)  # all are at work; who comes next waits in the kernel's queue
             self.screens[OrderScreen(self, sock)] = None
 
     def _make_room(self) -> bool:
-        for screen in self.screens:
-            if screen.idle:
-                screen.close()
-                return True
-        return False
+        """Closes the idle screen that has rested longest, else one whose request is not whole, and so not taken yet:
+        many callers that each send a few bytes must not keep the others out."""
+        spare = next((s for s in self.screens if s.idle), None) or next((s for s in self.screens if not s.owed), None)
+        if spare:
+            spare.close()
+        return spare is not None
 
     def stop(self) -> None:
         """A planned end: listens on for a while, as callers notice late, closes who is idle, and returns when
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -204,6 +204,23 @@
         room.withdraw(stand.attempts[1])
 
 
+def test_a_connection_that_never_comes_up_has_not_run() -> None:
+    with listen() as peer:
+        peer.listen(0)
+        crowd = [socket.create_connection(peer.getsockname()) for _ in range(1)]  # the kernel's queue is full now
+        module = Script(Send(1, 1))
+        stand = Stand(module)
+        room = room_for(stand, peer)
+        stand.job("a", left=60_000_000)
+        rest()
+        room.send(stand.attempts[0])
+        while not (ends := [e.status for e in module.events if isinstance(e, Outcome)]):
+            gevent.sleep(0.005)
+        assert ends == [Status.CONNECT_FAILED] and room.lines == 0
+        for conn in crowd:
+            conn.close()
+
+
 @pytest.mark.parametrize(
     ("head", "status", "report"),
     [("200 OK", Status.OK, (3.0, 0.5)), ("503 No", Status.FULL, (3.0, 0.5)), ("404 No", Status.ERROR, (3.0, 0.5)),
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -83,6 +83,13 @@
     assert sent(shared, order("ok", X_Request_ID="leaver")) == (200, b"done", 1)  # no longer in hand
 
 
+def received(conn: socket.socket) -> bytes:
+    try:
+        return conn.recv(1)
+    except ConnectionResetError:
+        return b""
+
+
 PIECES = {"Content_Length": "", "Transfer_Encoding": "chunked"}
 CHUNKED = order("ok", **PIECES)
 BAD = {
@@ -222,7 +229,22 @@
         crowd = [p.program.connect() for _ in range(100)]  # more than it may hold; the idle ones make room
         assert sent(p, order("ok"))[0] == 200
         closed = select.select(crowd, [], [], 20)[0]
-        assert closed and all(conn.recv(1) == b"" for conn in closed)
+        assert closed and not any(received(conn) for conn in closed)
+        for conn in crowd:
+            conn.close()
+        assert p.program.process.poll() is None
+
+
+def test_callers_that_never_finish_a_request_do_not_keep_the_others_out(tmp_path: Path) -> None:
+    with plant(tmp_path, limits={"cores": 1.0, "memory_mb": 192, "sockets": 64}) as p:
+        crowd = [p.program.connect() for _ in range(19)]  # as many as it may hold
+        for conn in crowd:
+            conn.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
+            assert answer(conn)[0] == 200
+            conn.sendall(b"POST /")
+        assert sent(p, order("ok"))[0] == 200
+        closed = select.select(crowd, [], [], 20)[0]
+        assert closed and not any(received(conn) for conn in closed)  # given up for others, not left to its time
         for conn in crowd:
             conn.close()
         assert p.program.process.poll() is None
