--- a/paddlestep/balance.py
+++ b/paddlestep/balance.py
@@ -15,7 +15,7 @@
 
 from .interface import (
     Action, Arrival, Cancel, ClientGone, Effect, Entry, Event, Fail, ListKind, ListUpdate, Log,
-    Outcome, Refuse, Scope, Send, ServiceClass, SetTimer, Settings, State, Status, StreamStarted,
+    NewSettings, Outcome, Refuse, Scope, Send, ServiceClass, SetTimer, Settings, State, Status, StreamStarted,
     TimerFired, Watch,
 )
 
@@ -168,6 +168,8 @@
                     request.attempts[e.attempt].streaming = True
             elif isinstance(e, TimerFired):
                 self.armed = 0
+            elif isinstance(e, NewSettings):
+                self.adopt(e.settings)
         self.run_due()
         self.dispatch()
         self.taken = self.slots - self.free
@@ -180,6 +182,18 @@
             self.actions.append(SetTimer(min(self.armed - self.now, 3600 * SECOND), self.armed))
         return self.actions
 
+    def adopt(self, settings: Settings) -> None:
+        """New settings for a sidecar at work. What it has learnt and holds stays; requests in hand keep the
+        terms they came under."""
+        more = len(settings.classes) - len(self.means)
+        self.means += [0.0] * more
+        self.bases += [0.0] * more
+        self.counts += [0] * more
+        for t in settings.tenants[len(self.tenants):]:
+            self.tenants.append((t.allowance_per_s / settings.siblings + 3, self.now))
+        self.set = settings
+        self.deal()
+
     def later(self, due: int, ident: int) -> None:
         self.order += 1
         heappush(self.heap, (due, self.order, ident))
--- a/paddlestep/interface.py
+++ b/paddlestep/interface.py
@@ -208,7 +208,16 @@
     data: bytes
 
 
-Event = ListUpdate | Arrival | StreamStarted | Outcome | ClientGone | TimerFired | Probed | PeerMessage
+@dataclass(frozen=True, slots=True)
+class NewSettings:
+    """The settings have been read anew; classes and tenants known before keep their places, new ones follow."""
+
+    settings: Settings
+
+
+Event = (
+    ListUpdate | Arrival | StreamStarted | Outcome | ClientGone | TimerFired | Probed | PeerMessage | NewSettings
+)
 
 # ---------------------------------------------------------------- actions
 
--- a/slatehub/cli.py
+++ b/slatehub/cli.py
@@ -14,7 +14,7 @@
 from gevent.event import Event as Bell
 
 from . import __version__
-from .config import ConfigError, Plant, load
+from .config import ConfigError, Plant, load, renew
 from .machine_room import MachineRoom
 from .node_list import NodeList
 from .order_screens import OrderHall
@@ -43,6 +43,42 @@
     return callers, spare - callers
 
 
+def descriptors(plant: Plant) -> int:
+    """How many this process may hold; the soft limit is raised where it stands in the way."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    limit = plant.sockets if hard == resource.RLIM_INFINITY else min(plant.sockets, hard)
+    if limit > soft:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
+    return limit
+
+
+def renew_on(bell: Bell, desk: SalesDesk, room: MachineRoom, listing: NodeList, hall: OrderHall) -> None:
+    """Each time the bell rings, reads the settings whole and checks them, and only then swaps them, all at once. If
+    anything is wrong with them, the old ones stay in force and a line names the key."""
+    while True:
+        bell.wait()
+        bell.clear()
+        try:
+            plant = load(os.environ)
+            listing.check(plant)
+            try:
+                # Port 0 asked for any port once; it does not ask for another one now.
+                listener = hall.bind(plant.listen) if plant.listen != hall.plant.listen else None
+            except OSError as problem:
+                raise ConfigError(f"listen: {problem}") from None
+            plant = renew(hall.plant, plant)
+            callers, nodes = budget(descriptors(plant), plant.memory_mb)
+            desk.resettle(plant.settings, plant.max_open)
+            room.resettle(plant, nodes)
+            listing.resettle(plant)
+            hall.resettle(plant, callers, listener)
+            say("settings", "read again and in force")
+        except ConfigError as problem:
+            say("settings", f"not taken, the old ones stay in force: {problem}")
+        except Exception as problem:
+            say("fault", f"new settings: {type(problem).__name__}: {problem}")
+
+
 @click.group()
 def main() -> None:
     """The proxy of the Catania plant; EDGE_CONFIG names its settings."""
@@ -65,13 +101,11 @@
 
 @main.command()
 def serve() -> None:
-    """Serves until SIGTERM or SIGINT, then finishes what is in hand."""
+    """Serves until SIGTERM or SIGINT, then finishes what is in hand. SIGHUP has the settings read again."""
+    renewal = Bell()
+    gevent.signal_handler(signal.SIGHUP, renewal.set)  # first of all: unhandled, it would end the program
     plant = _plant()
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    limit = plant.sockets if hard == resource.RLIM_INFINITY else min(plant.sockets, hard)
-    if limit > soft:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
-    callers, nodes = budget(limit, plant.memory_mb)
+    callers, nodes = budget(descriptors(plant), plant.memory_mb)
     desk = SalesDesk(plant.settings, plant.seed, plant.max_open)
     room = MachineRoom(plant, desk, nodes)
     listing = NodeList(plant, desk, room)
@@ -93,7 +127,9 @@
     gc.freeze()  # what is loaded now stays; collecting it again and again would only cost pauses
     host, port = hall.listener.getsockname()[:2]
     say("start", f"{plant.name} listens on {host}:{port}, tier {plant.settings.tier}")
+    renewer = gevent.spawn(renew_on, renewal, desk, room, listing, hall)
     stop.wait()
+    renewer.kill()
     say("stop", f"finishing {len(desk.ledger.names)} jobs in hand")
     hall.stop()
     say("stop", f"done after {desk.ledger.last} jobs, {room.attempts} attempts, {room.opened} connections to nodes")
--- a/slatehub/config.py
+++ b/slatehub/config.py
@@ -8,7 +8,7 @@
 import json
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from paddlestep.interface import Settings
@@ -40,6 +40,8 @@
     max_open: int  # jobs in hand at once
     idle_us: int  # nodes close a connection that was idle for this long
     reports: bool  # probes may ask for the load report
+    every_class: dict[str, int]  # with those that an earlier file named and this one does not
+    every_account: dict[str, int]
 
 
 def flatten(value: Any, path: str = "") -> list[str]:
@@ -100,6 +102,31 @@
     return {str(name): i for i, name in enumerate(names)}
 
 
+def renew(old: Plant, new: Plant) -> Plant:
+    """The new papers for a proxy at work. Classes and accounts known before keep their numbers, as jobs in hand and
+    the module go by these; new ones follow, and one that is gone from the file has no name to be asked for by. The
+    seed and the list in hand stay, as they are newer than the file's."""
+    classes = {name: i for name, i in old.every_class.items()}
+    accounts = {name: i for name, i in old.every_account.items()}
+    kinds, tenants = list(old.settings.classes), list(old.settings.tenants)
+    for name, i in new.classes.items():
+        place = classes.setdefault(name, len(kinds))
+        kinds[place : place + 1] = [new.settings.classes[i]]
+    for name, i in new.accounts.items():
+        place = accounts.setdefault(name, len(tenants))
+        tenants[place : place + 1] = [new.settings.tenants[i]]
+    return replace(
+        new,
+        seed=old.seed,
+        known=old.known,
+        settings=replace(new.settings, classes=tuple(kinds), tenants=tuple(tenants)),
+        classes={name: classes[name] for name in new.classes},
+        accounts={name: accounts[name] for name in new.accounts},
+        every_class=classes,
+        every_account=accounts,
+    )
+
+
 def load(environ: Mapping[str, str]) -> Plant:
     """Reads EDGE_CONFIG; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY serve where the file leaves them out."""
     path = environ.get("EDGE_CONFIG")
@@ -126,6 +153,7 @@
         raise ConfigError(f"settings: {problem}") from None
     if not settings.classes:
         raise ConfigError("settings.services: names no class")
+    classes, accounts = _numbered(tree, "settings.services"), _numbered(tree, "settings.tenants")
     return Plant(
         name=_item(tree, "name", str),
         listen=address(_item(tree, "listen", str), "listen"),
@@ -135,8 +163,10 @@
         memory_mb=_whole(tree, "limits.memory_mb", 192, 1),
         known=_item(tree, "known", dict, {}),
         settings=settings,
-        classes=_numbered(tree, "settings.services"),
-        accounts=_numbered(tree, "settings.tenants"),
+        classes=classes,
+        accounts=accounts,
+        every_class=classes,
+        every_account=accounts,
         kinds=_numbered(tree, "settings.kinds"),
         zones=_numbered(tree, "settings.zones"),
         max_open=_whole(tree, "settings.allowed.max_open", 32768, 1),
--- a/slatehub/machine_room.py
+++ b/slatehub/machine_room.py
@@ -192,7 +192,6 @@
         self.most = most  # connections
         self.lines = 0
         self.machines: dict[int, Machine] = {}
-        self.keep_us = max(plant.idle_us - CLOSE_EARLY_US, plant.idle_us * 4 // 5)
         self.opened = self.attempts = 0  # for the log
 
     # ------------------------------------------------------------ what the node list tells
@@ -211,6 +210,20 @@
         if machine := self.machines.get(endpoint):
             self.close_idle(machine)
 
+    @property
+    def keep_us(self) -> int:
+        """How long an idle connection is kept: the node must not be the one to close it."""
+        return max(self.plant.idle_us - CLOSE_EARLY_US, self.plant.idle_us * 4 // 5)
+
+    def resettle(self, plant: Plant, most: int) -> None:
+        """New settings; connections stay, but for those that would now rest too long."""
+        self.plant = plant
+        self.most = most
+        latest = clock() + self.keep_us
+        for machine in self.machines.values():
+            for line in [x for x in machine.idle if x.alarm and x.alarm.due > latest]:
+                self._drop(machine, line)
+
     def close_idle(self, machine: Machine) -> None:
         for line in list(machine.idle):
             self._drop(machine, line)
--- a/slatehub/node_list.py
+++ b/slatehub/node_list.py
@@ -6,6 +6,7 @@
 
 import hashlib
 import json
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -36,15 +37,35 @@
 
     def start(self) -> None:
         """The list as this proxy last had it, perhaps old: better than none until discovery answers."""
+        self.check(self.plant)
+        self._take(self.plant.known, ListKind.CACHED)
+
+    def check(self, plant: Plant) -> None:
+        """Whether the list in the settings can be read."""
         try:
-            self._take(self.plant.known, ListKind.CACHED)
-        except (ValueError, KeyError, TypeError) as problem:
+            for member in plant.known.get("members", []):
+                self._row(member, lambda ident: 1)
+        except (ValueError, KeyError, TypeError, AttributeError, ConfigError) as problem:
             raise ConfigError(f"known: cannot be read: {problem}") from None
 
+    def resettle(self, plant: Plant) -> None:
+        """New settings. Where discovery has moved, the old one is left at once, without waiting for its end, and the
+        new one asked for the whole list: its revisions need not be those of the old one. Numbers stay."""
+        old, self.plant = self.plant, plant
+        if (old.discovery, old.kinds, old.zones) == (plant.discovery, plant.kinds, plant.zones):
+            return
+        if self.watcher:
+            self.watcher.kill(block=False)  # before it runs again it must no longer be the watcher
+            self.watcher = None
+        self._hang_up()
+        self.revision = None
+        self.watch(True)
+
     def watch(self, on: bool) -> None:
         if self.watcher and not on:
             self.watcher.kill(block=False)
             self.watcher = None
+            self._hang_up()
         elif on and not self.watcher:
             self.watcher = gevent.spawn(self._watch)
 
@@ -52,9 +73,11 @@
 
     def _watch(self) -> None:
         """Asks again as soon as an answer has come, which keeps it one watch, until a call fails."""
+        watcher = self.watcher
+        assert watcher is not None
         try:
             while True:
-                tree = self._ask()
+                tree = self._ask(watcher)
                 whole = bool(tree["complete"])
                 self._take(tree, ListKind.FULL if whole else ListKind.DELTA)
         except (OSError, Broken, gevent.Timeout) as problem:
@@ -63,18 +86,16 @@
             say("discovery", f"answer cannot be read: {type(problem).__name__}: {problem}")
             self.revision = None  # whatever it meant, the whole list says it anew
         finally:
-            self._hang_up()
-            if self.watcher is gevent.getcurrent():
+            if self.watcher is watcher:  # else another is at work, and the connection is its own
+                self._hang_up()
                 self.watcher = None
                 self.desk.listed(ListKind.FAILED)
 
-    def _ask(self) -> Any:
+    def _ask(self, watcher: gevent.Greenlet[[], None]) -> Any:
         target, limit = "/v1/endpoints", PATIENCE_US
         if self.revision is not None:
             limit += WAIT_MS * 1000
             target += f"?since={self.revision}&timeout_ms={WAIT_MS}"
-        watcher = self.watcher
-        assert watcher is not None
 
         def give_up() -> None:
             watcher.kill(Broken("no answer"), block=False)
@@ -119,7 +140,9 @@
         return self.numbers[ident]
 
     def _take(self, tree: Any, kind: ListKind) -> None:
-        rows: list[tuple[Entry, Address | None]] = [self._row(member) for member in tree.get("members", [])]
+        rows: list[tuple[Entry, Address | None]] = [
+            self._row(member, self.number) for member in tree.get("members", [])
+        ]
         # Only now, when all of it could be read, does any of it count.
         for entry, peer in rows:
             if peer:
@@ -130,13 +153,13 @@
         for endpoint in self.desk.left:
             self.room.forget(endpoint)
 
-    def _row(self, member: Any) -> tuple[Entry, Address | None]:
+    def _row(self, member: Any, number: Callable[[str], int]) -> tuple[Entry, Address | None]:
         state = PHASES[member["phase"]]
         peer = None if state is State.GONE else address(member["host_port"], "host_port")
         # One clock is read by all machines; ours counts from the same epoch. 0 means long ago and stays 0.
         since = max(0, int(member.get("up_since_ms") or 0)) * 1000
         entry = Entry(
-            endpoint=self.number(str(member["id"])),
+            endpoint=number(str(member["id"])),
             state=state,
             since_us=since,
             weight=float(member.get("size", 1.0)),
--- a/slatehub/order_screens.py
+++ b/slatehub/order_screens.py
@@ -17,7 +17,7 @@
 
 from paddlestep.interface import Effect
 
-from .config import Plant
+from .config import Address, Plant
 from .machine_room import BODY_LIMIT, HEAD_LIMIT, OUT_OF_FILES, PIECE, RAW_LIMIT, Order, Printed
 from .sales_desk import Alarm, Answer, Job, SalesDesk, Verdict, clock, say
 
@@ -380,15 +380,34 @@
         self.screens: OrderedDict[OrderScreen, None] = OrderedDict()  # the one that rested longest first
 
     def open(self) -> None:
-        host, port = self.plant.listen
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self.listener = socket.socket(family, socket.SOCK_STREAM)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind((host, port))
-        self.listener.listen(1024)
+        self.listener = self.bind(self.plant.listen)
         self.opened = True
         self.door = gevent.spawn(self._accept)
 
+    def bind(self, place: Address) -> Any:
+        host, port = place
+        listener = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((host, port))
+            listener.listen(1024)
+        except OSError:
+            listener.close()
+            raise
+        return listener
+
+    def resettle(self, plant: Plant, most: int, listener: Any) -> None:
+        """New settings; screens stay, and what they take in from now on is checked by these. A listener, where there
+        is one, takes the place of the old, whose queue is emptied first."""
+        self.plant = plant
+        self.most = most
+        if listener:
+            self.door.kill()
+            self._last_call()
+            self.listener.close()
+            self.listener = listener
+            self.door = gevent.spawn(self._accept)
+
     def ready(self, request: Request) -> Bad:
         if request.method not in ("GET", "HEAD"):
             return Bad(405, "this path takes GET", last=False)
--- a/slatehub/sales_desk.py
+++ b/slatehub/sales_desk.py
@@ -28,6 +28,7 @@
     ListKind,
     ListUpdate,
     Log,
+    NewSettings,
     Outcome,
     Probe,
     Probed,
@@ -359,6 +360,13 @@
                     self.left.setdefault(entry.endpoint, clock())
         self._post(ListUpdate(kind, version, entries))
 
+    def resettle(self, settings: Settings, most: int) -> None:
+        """The settings have been read anew: whatever comes in after this goes by them."""
+        self.settings = settings
+        self.most = most
+        self.route.most = settings.max_attempts
+        self._post(NewSettings(settings))
+
     def _post(self, event: Event | Job) -> None:
         self.waiting.append(event)
         self.bell.set()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 
 import pytest
-from plant import BUY, LOOK, ROOT, Plant, answer, field, member, order, plant, settings
+from plant import BUY, LOOK, ROOT, Discovery, Plant, answer, field, member, order, plant, settings
 
 
 @pytest.fixture(scope="module")
@@ -291,3 +291,58 @@
 
 def test_the_program_logs_no_fault(shared: Plant) -> None:
     assert not [line for line in shared.program.log if "fault" in line or "Traceback" in line]
+
+
+def test_sighup_swaps_the_settings_whole_or_not_at_all(tmp_path: Path) -> None:
+    with plant(tmp_path, nodes=2) as p, ThreadPoolExecutor() as pool, p.program.connect() as kept:
+        path, process = tmp_path / "config.json", p.program.process
+        tree = json.loads(path.read_text())
+        first, second = tree["known"]["members"]
+
+        def renew(line: str, **change: object) -> None:
+            path.write_text(json.dumps({**tree, **change}))
+            process.send_signal(signal.SIGHUP)
+            for _ in range(6000):
+                if any(line in x for x in list(p.program.log)):
+                    return
+                time.sleep(0.005)
+            raise AssertionError(f"never said {line}")
+
+        kept.sendall(order("ok"))
+        assert answer(kept)[0] == 200
+        held = pool.submit(p.program.ask, order("wait"))
+        assert p.nodes[0].waiting.acquire(timeout=20)
+        renew("old ones stay in force: discovery: ", discovery="nowhere")
+        renew("old ones stay in force: known: ", known={"members": [{"id": "s-1", "phase": "ASLEEP"}]})
+        elsewhere = Discovery([first, {**second, "phase": "DRAINING"}])
+        new = settings(max_attempts=2)
+        new["services"].insert(0, {**new["services"][0], "name": "harvest", "idempotency": "fragile"})
+        del new["services"][1]  # the order changes, one goes and one is new
+        renew("read again and in force", discovery=elsewhere.address, settings=new)
+        for _ in range(6000):  # the old discovery keeps its watch open and says nothing
+            if len(elsewhere.seen) > 1:
+                break
+            time.sleep(0.005)
+        assert elsewhere.seen[0].startswith("GET /v1/endpoints HTTP/1.1") and "since=1&" in elsewhere.seen[1]
+        before = len(p.nodes[1].seen)
+        assert {sent(p, order("ok", "harvest"))[0] for _ in range(4)} == {200} and len(p.nodes[1].seen) == before
+        assert sent(p, order("full"))[::2] == (503, 2) and sent(p, order("ok", LOOK))[0] == 400
+        p.nodes[0].go.set()
+        assert held.result(20)[0] == 200  # what was in hand, and the connection, outlive the change
+        kept.sendall(order("ok"))
+        assert answer(kept)[0] == 200
+        elsewhere.sock.close()
+
+
+def test_sighup_moves_the_listener(tmp_path: Path) -> None:
+    with plant(tmp_path) as p, socket.create_server(("127.0.0.1", 0)) as spare:
+        tree = json.loads((tmp_path / "config.json").read_text())
+        port = spare.getsockname()[1]
+        spare.close()
+        (tmp_path / "config.json").write_text(json.dumps({**tree, "listen": f"127.0.0.1:{port}"}))
+        p.program.process.send_signal(signal.SIGHUP)
+        while not any("read again" in x for x in list(p.program.log)):
+            assert p.program.process.poll() is None
+            time.sleep(0.005)
+        p.program.peer = ("127.0.0.1", port)
+        assert sent(p, order("ok"))[0] == 200
