A spoilt answer is an error of a running node, not a reset; connections settle before reuse

At fault: Errand._run in machine_room.py, RESET for all of them: the module takes a reset for a node that dies and comes back cold (balance.py, Server.down) and gives it a third of its work for up to 9 s, and 3 % of the answers of all nodes are enough to hold all of them there. Now ERROR: may have run all the same. One that claims to be too large, or stops in the middle for 1.5 s, is not waited for. A connection rests 1 ms after an answer before it is looked at and used again, or a copy still on its way behind the answer would be taken for the next job's; so far only what had arrived was seen. A report of nan or inf is none.

--- a/slatehub/machine_room.py
+++ b/slatehub/machine_room.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import errno
+import math
 import select
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -25,6 +26,8 @@
 RAW_LIMIT = HEAD_LIMIT + 8 * BODY_LIMIT  # one message with the framing of its chunks and its trailers
 CLOSE_EARLY_US = 1_000_000  # before the node closes an idle connection itself
 PROBE_US = 1_000_000
+ANSWER_US = 1_500_000  # for the rest of an answer once it has begun
+SETTLE_US = 1_000  # after an answer, before the connection is used again
 OUT_OF_FILES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -54,7 +57,11 @@
 
 
 class Broken(Exception):
-    """The peer's answer cannot be read, is too large or is not whole."""
+    """The peer's answer is not whole: the connection ended before it."""
+
+
+class Spoilt(Broken):
+    """The peer is there and has answered, with what cannot be read or is too large."""
 
 
 class Reply:
@@ -68,8 +75,10 @@
         self.body = bytearray()
         self.raw = 0  # bytes read, framing and all
         self.whole = False
+        self.begun = False  # within a message
         self.framed = False
         self.surplus = False
+        self.claims = 0
         self.keep = False
 
     def feed(self, data: bytes) -> None:
@@ -78,20 +87,21 @@
             return
         self.raw += len(data)
         if self.raw > HEAD_LIMIT + (8 * self.limit if self.framed else PIECE):
-            raise Broken("too many bytes")
+            raise Spoilt("too many bytes")
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
             if not self.whole:
-                raise Broken(f"malformed answer: {type(problem).__name__}") from None
+                raise Spoilt(f"malformed answer: {type(problem).__name__}") from None
             self.surplus = True  # the answer is whole; what follows it spoils only the connection
-        if len(self.body) > self.limit:
-            raise Broken("body too large")
+        if len(self.body) > self.limit or self.claims > self.limit and not self.whole:
+            raise Spoilt("body too large")  # one that claims to be is not waited for
 
     def on_message_begin(self) -> None:
         if self.whole:
             self.surplus = True
         else:
+            self.begun = True
             self.headers = {}
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -102,6 +112,8 @@
         if not self.whole:
             self.status = self.parser.get_status_code()
             self.framed = self.status >= 200
+            length = self.headers.get("content-length", "")
+            self.claims = int(length[:20]) if self.framed and length.isdecimal() else 0
 
     def on_body(self, body: bytes) -> None:
         if not self.whole and len(self.body) <= self.limit:
@@ -109,6 +121,7 @@
 
     def on_message_complete(self) -> None:
         if self.whole or self.status < 200:  # 100 Continue and the like: the answer is still to come
+            self.begun = False
             return
         # Never reached by an answer without a length: one that ends with its connection may have been cut off.
         self.whole = True
@@ -128,6 +141,7 @@
         self.on_close = on_close
         self.alarm: Alarm | None = None
         self.written = False  # the last byte of the request now on it has been written
+        self.rested = 0  # since when it is idle
         self.sock = socket.socket(socket.AF_INET6 if ":" in peer[0] else socket.AF_INET, socket.SOCK_STREAM)
 
     def connect(self) -> None:
@@ -144,18 +158,31 @@
         self.sock.sendall(data)
         self.written = True
 
-    def read(self, limit: int) -> Reply:
+    def read(self, limit: int, stalled: Callable[[], None] | None = None) -> Reply:
+        """One answer. `stalled` is rung when the rest of one that has begun is too long in coming; what a peer says
+        before its answer (1xx) does not begin it."""
         reply = Reply(limit)
-        while not reply.whole:
-            data = self.sock.recv(PIECE)
-            if not data:
-                raise Broken("ended before its answer")
-            reply.feed(data)
+        late: Alarm | None = None
+        try:
+            while not reply.whole:
+                data = self.sock.recv(PIECE)
+                if not data:
+                    raise Broken("ended before its answer")
+                reply.feed(data)
+                if late and not reply.begun:
+                    late.off()
+                    late = None
+                elif stalled and reply.begun and not late:
+                    late = Alarm(clock() + ANSWER_US, stalled)
+        finally:
+            if late:
+                late.off()
         return reply
 
     def park(self, due: int, ring: Callable[[], None]) -> None:
         assert self.state == "busy", self.state
         self.state = "idle"
+        self.rested = clock()
         self.alarm = Alarm(due, ring)
 
     def alive(self) -> bool:
@@ -248,10 +275,11 @@
 
     # ------------------------------------------------------------ connections
 
-    def take(self, machine: Machine) -> Line | None:
-        """The idle connection used last, if one is still alive."""
-        while machine.idle:
-            line = machine.idle.pop()
+    def take(self, machine: Machine, settled_us: int = 0) -> Line | None:
+        """The idle connection used last, if one is still alive, of those that have rested for so long."""
+        latest = clock() - settled_us
+        for line in [x for x in reversed(machine.idle) if x.rested <= latest]:
+            machine.idle.remove(line)
             if line.alive():
                 return line
             line.close()
@@ -286,7 +314,7 @@
 
     def report(self, text: str) -> tuple[float, ...]:
         """The load report in the order of the settings' columns; names not known are skipped, and a report in
-        which a column is missing or no number is as good as none."""
+        which a column is missing or no finite number is as good as none."""
         columns = self.plant.settings.report_columns
         if not text or not columns:
             return ()
@@ -298,7 +326,8 @@
                     values[name.strip()] = float(value)
                 except ValueError:
                     return ()
-        return tuple(values[c] for c in columns) if len(values) == len(set(columns)) else ()
+        good = len(values) == len(set(columns)) and all(math.isfinite(x) for x in values.values())
+        return tuple(values[c] for c in columns) if good else ()
 
     def _probe(self, endpoint: int) -> None:
         started = clock()
@@ -310,7 +339,7 @@
             if machine and endpoint not in self.desk.left:
                 with gevent.Timeout(PROBE_US / 1e6):
                     path = "/status/load" if self.plant.reports else "/health"
-                    line = self.take(machine)
+                    line = self.take(machine, SETTLE_US)
                     if line is None:
                         line = self.open(machine)
                         line.connect()
@@ -374,6 +403,11 @@
             written = bool(self.line and self.line.written)
             if getattr(problem, "errno", None) in OUT_OF_FILES:
                 say("sockets", f"no connection to be had: {problem}")
+            if isinstance(problem, Spoilt):
+                # The node runs and has answered: no reset, from which the module takes it for one that comes back
+                # cold and holds calls back for seconds. It may have run all the same.
+                say("nodes", f"spoilt answer: {problem}")
+                self.stop(Status.ERROR)
             self.stop(Status.RESET if written else Status.CONNECT_FAILED)
         except Exception as problem:
             say("fault", f"attempt failed: {type(problem).__name__}: {problem}")
@@ -386,7 +420,16 @@
         machine = room.machines.get(attempt.endpoint)
         if machine is None:
             return self.stop(Status.MOOT)
-        line = self.line = room.take(machine)
+        line = room.take(machine)
+        if line and (unsettled := line.rested + SETTLE_US - clock()) > 0:
+            # Guards against a second copy of the last answer, or noise, still on its way behind it: written to at once,
+            # this connection would give it to the next job. The line is out of the pool meanwhile, and ours.
+            self.line = line
+            gevent.sleep(unsettled / 1e6)
+            if not line.alive():
+                line.close()
+                line = room.take(machine, SETTLE_US)
+        self.line = line
         if line is None:
             line = self.line = room.open(machine)
             limit = room.plant.settings.connect_timeout_us
@@ -399,7 +442,7 @@
             return self.stop(Status.MOOT)
         left = attempt.deadline - clock()
         line.write(attempt.job.order.to_bytes(host_of(line.peer), f"X-Timeout: {max(1, left)}u\r\n"))
-        reply = line.read(BODY_LIMIT)
+        reply = line.read(BODY_LIMIT, lambda: self.stop(Status.ERROR))
         report = room.report(reply.headers.get("x-server-load", ""))
         if reply.reusable:
             self.line = None
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -13,6 +13,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from paddlestep.interface import Entry, Fail, ListKind, Outcome, Refuse, Send, ServiceClass, Settings, Status
+from slatehub import machine_room
 from slatehub.machine_room import Broken, Line, MachineRoom, Order
 from slatehub.sales_desk import Alarm, Answer, Attempt, Job, SalesDesk, Verdict, clock
 
@@ -183,6 +184,73 @@
         assert [e.status for e in module.events if isinstance(e, Outcome)] == [Status.MOOT] and room.lines == 0
 
 
+def carried(peer: Any, *answers: bytes) -> tuple[list[Status], MachineRoom]:
+    """The outcomes that the module hears of when a node answers in these pieces, a turn of the loop apart."""
+    module = Script(Send(1, 1))
+    stand = Stand(module)
+    room = room_for(stand, peer)
+    stand.job("a")
+    rest()
+    room.send(stand.attempts[0])
+    conn, _ = peer.accept()
+    assert conn.recv(100).startswith(b"POST")
+    for piece in answers:
+        conn.sendall(piece)
+        rest()
+    while not (ends := [e.status for e in module.events if isinstance(e, Outcome)]):
+        gevent.sleep(0.001)
+    conn.close()
+    return ends, room
+
+
+@pytest.mark.parametrize(
+    ("pieces", "status"),
+    [
+        ([b"ICY 200 OK\r\n\r\n"], Status.ERROR),
+        ([b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 2\r\n\r\nok"], Status.ERROR),
+        ([b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"], Status.ERROR),  # not waited for
+        ([b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"], Status.ERROR),  # and no more comes
+        ([b"HTTP/1.1 200 OK\r\nX-Pad: "], Status.ERROR),
+        ([b"HTTP/1.1 102 Wait\r\n\r\n", b"HTTP/1.1 103 Soon\r\n\r\n", WHOLE], Status.OK),
+        ([WHOLE[:-2], b"ok" + WHOLE], Status.OK),
+        ([b"HTTP/1.1 200 OK\r\nX-Server-Load: qps=nan,util=\xff\r\nContent-Length: 2\r\n\r\nok"], Status.OK),
+    ],
+)
+def test_a_spoilt_answer_is_an_error_of_a_node_that_runs_and_its_connection_ends(
+    pieces: list[bytes], status: Status, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(machine_room, "ANSWER_US", 50_000)
+    with listen() as peer:
+        ends, room = carried(peer, *pieces)
+        assert ends == [status] and room.lines == (status is Status.OK and b"ok" + WHOLE not in pieces)
+
+
+def test_a_second_copy_behind_an_answer_does_not_reach_the_next_job(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(machine_room, "SETTLE_US", 100_000)
+    with listen() as peer:
+        module = Script(Send(1, 1), [], Send(2, 1))
+        stand = Stand(module)
+        room = room_for(stand, peer)
+        stand.job("a")
+        rest()
+        room.send(stand.attempts[0])
+        first, _ = peer.accept()
+        assert first.recv(100)
+        first.sendall(WHOLE)
+        while not stand.answers:
+            gevent.sleep(0)
+        rest()
+        stand.job("b")
+        rest()
+        room.send(stand.attempts[1])
+        rest()
+        first.sendall(WHOLE)  # on its way when the answer was read, and here only now
+        with gevent.Timeout(20):
+            second, _ = peer.accept()
+        assert second.recv(100).startswith(b"POST") and room.lines == 1
+        room.withdraw(stand.attempts[1])
+
+
 def test_too_many_connections_fail_the_attempt_as_never_run_unless_an_idle_one_makes_room() -> None:
     with listen() as peer, listen() as other:
         module = Script(Send(1, 1), Send(1, 2))
@@ -243,7 +311,7 @@
         assert (probed[0][1], probed[0][3]) == (status, report)
 
 
-@pytest.mark.parametrize("text", ["", "qps=3", "qps=3,util=much", "inflight=7"])
+@pytest.mark.parametrize("text", ["", "qps=3", "qps=nan,util=1", "qps=inf,util=1", "qps=3,util=much", "inflight=7"])
 def test_half_a_report_is_none(text: str) -> None:
     with listen() as peer:
         assert room_for(Stand(Script()), peer).report(text) == ()
