--- a/slatehub/cli.py
+++ b/slatehub/cli.py
@@ -31,16 +31,18 @@
         sys.exit(2)
 
 
-OWN_MB = 60  # the program itself with its nodes and its list
-CALLER_KB = 5 * 64  # one that sends ahead: bodies read, next and under way, the answer, and that answer on its way
+OWN_MB = 18  # the program itself with its nodes and its list, 14 MB as measured
+LINE_KB = 24  # a connection with its greenlets, its parser and nothing in hand, 20 KB as measured
 
 
-def budget(sockets: int, memory_mb: int) -> tuple[int, int]:
-    """How many descriptors callers and nodes may have each. Callers get more, as the connections to nodes are used in
-    turn, but no more than fit into the memory when all of them send the largest bodies ahead of their turn."""
+def budget(sockets: int, memory_mb: int) -> tuple[int, int, int]:
+    """How many descriptors callers and nodes may have each, and how many bytes of requests may be in hand. Callers get
+    more, as the connections to nodes are used in turn; a third of all is what their requests may need at once, the rest
+    is for those who only keep one open. Half of the memory that is left is for requests, half for their answers."""
     spare = sockets - OWN_FILES
-    callers = max(8, min(spare * 3 // 5, (memory_mb - OWN_MB) * 1024 // CALLER_KB))
-    return callers, spare - callers
+    callers = spare * 3 // 5
+    free_kb = (memory_mb - OWN_MB) * 1024 - spare * LINE_KB
+    return callers, spare - callers, max(1024, free_kb // 2) * 1024
 
 
 def descriptors(plant: Plant) -> int:
@@ -67,11 +69,11 @@
             except OSError as problem:
                 raise ConfigError(f"listen: {problem}") from None
             plant = renew(hall.plant, plant)
-            callers, nodes = budget(descriptors(plant), plant.memory_mb)
+            callers, nodes, bytes_held = budget(descriptors(plant), plant.memory_mb)
             desk.resettle(plant.settings, plant.max_open)
             room.resettle(plant, nodes)
             listing.resettle(plant)
-            hall.resettle(plant, callers, listener)
+            hall.resettle(plant, callers, bytes_held, listener)
             say("settings", "read again and in force")
         except ConfigError as problem:
             say("settings", f"not taken, the old ones stay in force: {problem}")
@@ -105,11 +107,11 @@
     renewal = Bell()
     gevent.signal_handler(signal.SIGHUP, renewal.set)  # first of all: unhandled, it would end the program
     plant = _plant()
-    callers, nodes = budget(descriptors(plant), plant.memory_mb)
+    callers, nodes, bytes_held = budget(descriptors(plant), plant.memory_mb)
     desk = SalesDesk(plant.settings, plant.seed, plant.max_open)
     room = MachineRoom(plant, desk, nodes)
     listing = NodeList(plant, desk, room)
-    hall = OrderHall(plant, desk, callers)
+    hall = OrderHall(plant, desk, callers, bytes_held)
     stop = Bell()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop.set)
--- a/slatehub/machine_room.py
+++ b/slatehub/machine_room.py
@@ -10,6 +10,7 @@
 import select
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import gevent
 import httptools
@@ -69,7 +70,7 @@
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
-        self.parser = httptools.HttpResponseParser(self)
+        self.parser: Any = httptools.HttpResponseParser(self)
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = bytearray()
@@ -175,6 +176,7 @@
                 elif stalled and reply.begun and not late:
                     late = Alarm(clock() + ANSWER_US, stalled)
         finally:
+            reply.parser = None  # it holds the reply: the two, with a body, would wait for the collector
             if late:
                 late.off()
         return reply
--- a/slatehub/order_screens.py
+++ b/slatehub/order_screens.py
@@ -5,7 +5,9 @@
 from __future__ import annotations
 
 import re
+import select
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -21,8 +23,14 @@
 from .machine_room import BODY_LIMIT, HEAD_LIMIT, OUT_OF_FILES, PIECE, RAW_LIMIT, Order, Printed
 from .sales_desk import Alarm, Answer, Job, SalesDesk, Verdict, clock, say
 
-SLOW_US = 10_000_000  # for the rest of a request once begun, and for a caller to take its answer
-LINGER_US = 1_000_000  # for a caller to stop sending after an answer that ends the connection
+SILENT_US = 2_200_000  # for the first byte on a new connection
+FIRST_US = 2_700_000  # from connecting, for the whole of the first request
+SLOW_US = 4_000_000  # for the rest of a later request once begun
+KEEP_US = 10_000_000  # between requests
+TAKE_US = 10_000_000  # for a caller to take its answer
+LINGER_US = 4_000_000  # for a caller to stop sending after an answer that ends the connection
+PACE_S = 0.002  # between two looks at what such a caller still sends
+GREEN_US = 200_000  # a connection younger than this may have its first request on its way
 AHEAD = 1  # pipelined requests kept before their turn; what comes after them stays with the kernel
 MARGIN_US = 5_000  # an answer must have reached the caller by its time, not just have left here
 LISTEN_ON_US = 1_000_000  # after SIGTERM
@@ -63,7 +71,7 @@
     left in `done`."""
 
     def __init__(self) -> None:
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser: Any = httptools.HttpRequestParser(self)
         self.done: list[Request | Bad] = []
         self.busy = False  # within a request
         self.in_head = False
@@ -79,6 +87,11 @@
         self.twice: set[str] = set()
         self.body = bytearray()
 
+    def end(self) -> None:
+        """Lets go of the parser, which holds this: with what was read, the two would wait for the collector."""
+        self.parser = None
+        self._clear()
+
     def feed(self, data: bytes) -> None:
         if self.fault:
             return
@@ -94,7 +107,14 @@
         elif self.raw > RAW_LIMIT:
             self.fault = self.fault or Bad(413, "too many bytes for one request")
         if self.fault:
-            self.done.append(self.fault)
+            self.reject(self.fault)
+
+    def reject(self, fault: Bad) -> None:
+        """Nothing more is read; what has come of the request is of no more use."""
+        self.fault = fault
+        self.done.append(fault)
+        self.raw = 0
+        self._clear()
 
     def on_message_begin(self) -> None:
         self._clear()
@@ -200,12 +220,16 @@
         self.sock = sock
         self.since = clock()
         self.fresh = True  # nothing has been served on it
+        self.weight = 0  # bytes of requests in hand
+        self.item: Request | Bad | None = None  # what is being served
+        self.alarm: Alarm | None = None  # for what the caller is waited for
         self.taker = Taker()
         self.orders: Queue[Request | Bad] = Queue(AHEAD)
         self.job: Job | None = None
         self.result: AsyncResult[Answer] = AsyncResult()
         self.serving = False  # an order has been picked up and is not yet answered
         self.closed = False
+        self._expect(self.since + SILENT_US, self._quiet)
         self.reader = gevent.spawn(self._read)
         self.server = gevent.spawn(self._serve)
 
@@ -225,75 +249,102 @@
         if self.closed:
             return
         self.closed = True
+        self._expect()
+        self.hall.weight -= self.weight
+        self.weight = 0
         if self.job:
             self.hall.desk.gone(self.job)
         for greenlet in (self.reader, self.server):
             if greenlet is not gevent.getcurrent():
                 greenlet.kill(block=False)
+        # Each greenlet holds the screen: rings, in which all that passed here would wait for the collector.
+        del self.reader, self.server
         self.sock.close()
+        self.taker.end()
         self.hall.leave(self)
 
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing is on its way from this caller: closing now crosses no request. What has come may not have
+        been read yet while many come at once."""
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    # ------------------------------------------------------------ what a caller is waited for
+
+    def _expect(self, due: int = 0, ring: Callable[[], None] | None = None) -> None:
+        """The one limit of time that this caller is under; none while a whole request of its is in hand."""
+        if self.alarm:
+            self.alarm.off()
+        self.alarm = Alarm(due, ring) if ring and not self.closed else None
+
+    def _quiet(self) -> None:
+        if self.idle and self.quiet:
+            self.close()
+
+    def _slow(self) -> None:
+        """The rest of a request is too long in coming; what was read whole before it is still answered."""
+        if not self.taker.fault:
+            self.taker.fault = Bad(408, "request not finished in time")
+            self.reader.kill(block=False)
+            gevent.spawn(self.orders.put, self.taker.fault)
+
+    def _weigh(self) -> None:
+        """Brings the hall's sum of bytes in hand up to date. A request that no room is left for is turned away before
+        it is whole: it must not cost the others theirs."""
+        if self.closed:
+            return
+        ahead = [self.item, *self.orders.queue]
+        weight = self.taker.raw * self.taker.busy + sum(len(r.body) for r in ahead if isinstance(r, Request))
+        self.hall.weight += weight - self.weight
+        self.weight = weight
+        if self.hall.weight > self.hall.room and self.taker.busy and not self.taker.fault:
+            say("memory", "no room for another request")
+            self.taker.reject(Bad(503, "no room"))
+            self._weigh()
+
     # ------------------------------------------------------------ reading
 
     def _read(self) -> None:
-        late: Alarm | None = None
+        # No frame that rests between two requests may name one: each open connection would keep its last bodies.
         try:
-            while True:
-                data = self.sock.recv(PIECE)
-                if not data:
-                    break
-                self.taker.feed(data)
-                done, self.taker.done = self.taker.done, []
-                if late and (done or not self.taker.busy):
-                    late.off()
-                    late = None
-                if self.taker.busy and not late and not self.taker.fault:
-                    late = Alarm(clock() + SLOW_US, self._slow)
-                for item in done:
-                    self.orders.put(item)  # waits while too many are ahead
-                if self.taker.fault:
-                    return  # the server has the last word, and closes
-                if self.taker.expects:
-                    self.taker.expects = False
-                    if not self.owed:
-                        self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
-            self.close()  # also when only its sending side is shut: a caller that closes has gone away
+            while self._taken(self.sock.recv(PIECE)):
+                pass
         except OSError:
             self.close()
         except Exception as problem:
             say("fault", f"reading an order failed: {type(problem).__name__}: {problem}")
             self.close()
-        finally:
-            if late:
-                late.off()
 
-    def _slow(self) -> None:
-        """The rest of a request is too long in coming; what was read whole before it is still answered."""
-        if not self.taker.fault:
-            self.taker.fault = Bad(408, "request not finished in time")
-            self.reader.kill(block=False)
-            gevent.spawn(self.orders.put, self.taker.fault)
+    def _taken(self, data: bytes) -> bool:
+        """Whether to read on after this piece."""
+        if not data or self.closed:  # another greenlet may have closed it, and this one not yet been ended
+            self.close()  # also when only its sending side is shut: a caller that closes has gone away
+            return False
+        was = self.taker.busy
+        self.taker.feed(data)
+        self._weigh()
+        done, self.taker.done = self.taker.done, []
+        if done or not self.taker.busy:
+            self._expect()
+        if self.taker.busy and (done or not was) and not self.taker.fault:
+            first = self.fresh and not (done or self.owed)
+            self._expect(self.since + FIRST_US if first else clock() + SLOW_US, self._slow)
+        for item in done:
+            self.orders.put(item)  # waits while too many are ahead
+        if self.taker.expects and not self.taker.fault:
+            self.taker.expects = False
+            if not self.owed:
+                self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        return not self.taker.fault  # after one the server has the last word, and closes
 
     # ------------------------------------------------------------ serving
 
     def _serve(self) -> None:
         try:
-            while True:
-                item = self.orders.get()
-                self.serving = True
-                status, extra, body, kind = self._reply(item)
-                ahead = self.taker.busy or self.orders.qsize()  # taken, or about to be: owed an answer too
-                last = isinstance(item, Bad) or not item.keep or (self.hall.stopping and not ahead)
-                payload = b"" if isinstance(item, Request) and item.method == "HEAD" else body
-                head = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Length: {len(body)}\r\n"
-                head += f"Content-Type: {kind}\r\n" if kind and body else ""
-                head += extra + ("Connection: close\r\n" if last else "") + "\r\n"
-                self._write(head.encode("latin-1") + payload)
-                self.serving = self.fresh = False
-                self.since = clock()
-                self.hall.rested(self)
-                if last:
-                    break
+            while self._turn(self.orders.get()):
+                pass
             self._part()
         except OSError:
             pass
@@ -302,6 +353,26 @@
         finally:
             self.close()
 
+    def _turn(self, item: Request | Bad) -> bool:
+        """Answers one; whether the connection goes on after it."""
+        self.item = item
+        self.serving = True
+        status, extra, body, kind = self._reply(item)
+        ahead = self.taker.busy or self.orders.qsize()  # taken, or about to be: owed an answer too
+        last = isinstance(item, Bad) or not item.keep or (self.hall.stopping and not ahead)
+        head = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Length: {len(body)}\r\n"
+        head += f"Content-Type: {kind}\r\n" if kind and body else ""
+        head += extra + ("Connection: close\r\n" if last else "") + "\r\n"
+        self._write(head.encode("latin-1") + (b"" if isinstance(item, Request) and item.method == "HEAD" else body))
+        self.serving = self.fresh = False
+        self.item = None
+        self.since = clock()
+        self.hall.rested(self)
+        self._weigh()
+        if not last and self.idle:
+            self._expect(self.since + KEEP_US, self._quiet)
+        return not last
+
     def _reply(self, item: Request | Bad) -> tuple[int, str, bytes, str]:
         """Status, further header lines, body and its type."""
         try:
@@ -335,6 +406,7 @@
         self.job = job
         answer = self.result.get()
         self.job = None
+        self.result = AsyncResult()  # the old one holds the answer
         assert answer is not None  # it waits without a limit; the desk sets one at every job's deadline
         return answer
 
@@ -350,31 +422,34 @@
 
     def _write(self, data: bytes) -> None:
         """The whole answer; a caller that does not take it in time loses its connection."""
-        late = Alarm(clock() + SLOW_US, self.close)
+        late = Alarm(clock() + TAKE_US, self.close)
         try:
             self.sock.sendall(data)
         finally:
             late.off()
 
     def _part(self) -> None:
-        """Ends the connection so that the last answer arrives: closing while unread bytes are left would reset it."""
+        """Ends the connection so that the last answer arrives: closing while unread bytes are left would reset it. What
+        still comes is dropped unread by the kernel (MSG_TRUNC), at a pace that leaves the others their turn."""
+        if self.closed:
+            return
         self.reader.kill()
+        self._expect(clock() + LINGER_US, self.close)
         self.sock.shutdown(socket.SHUT_WR)
-        late = Alarm(clock() + LINGER_US, self.close)
-        try:
-            while self.sock.recv(PIECE):
-                pass
-        finally:
-            late.off()
+        while self.sock.recv_into(self.hall.bin, len(self.hall.bin), socket.MSG_TRUNC):
+            gevent.sleep(PACE_S)
 
 
 class OrderHall:
     """The listener and all screens."""
 
-    def __init__(self, plant: Plant, desk: SalesDesk, most: int) -> None:
+    def __init__(self, plant: Plant, desk: SalesDesk, most: int, room: int) -> None:
         self.plant = plant
         self.desk = desk
         self.most = most
+        self.room = room  # bytes of requests in hand
+        self.weight = 0
+        self.bin = bytearray(256 * 1024)
         self.stopping = False
         self.opened = False
         self.screens: OrderedDict[OrderScreen, None] = OrderedDict()  # the one that rested longest first
@@ -396,11 +471,12 @@
             raise
         return listener
 
-    def resettle(self, plant: Plant, most: int, listener: Any) -> None:
+    def resettle(self, plant: Plant, most: int, room: int, listener: Any) -> None:
         """New settings; screens stay, and what they take in from now on is checked by these. A listener, where there
         is one, takes the place of the old, whose queue is emptied first."""
         self.plant = plant
         self.most = most
+        self.room = room
         if listener:
             self.door.kill()
             self._last_call()
@@ -424,6 +500,11 @@
     def _accept(self) -> None:
         while True:
             try:
+                # Only now, with somebody at the door, is anyone asked to leave; and who has been let in has a screen at
+                # once, as it may have sent a whole request already.
+                socket.wait_read(self.listener.fileno())
+                while len(self.screens) >= self.most and not self._make_room():
+                    gevent.sleep(0.02)  # all are at work; who comes next waits in the kernel's queue
                 sock, _ = self.listener.accept()
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             except OSError as problem:
@@ -435,15 +516,23 @@
                     self._make_room()
                     gevent.sleep(0.05)
                 continue
-            # Only now, with somebody at the door, is anyone asked to leave.
-            while len(self.screens) >= self.most and not self._make_room():
-                gevent.sleep(0.02)  # all are at work; who comes next waits in the kernel's queue
             self.screens[OrderScreen(self, sock)] = None
+            gevent.sleep(0)  # a crowd at the door must not keep those inside from being read
 
     def _make_room(self) -> bool:
-        """Closes the idle screen that has rested longest, else one whose request is not whole, and so not taken yet:
-        many callers that each send a few bytes must not keep the others out."""
-        spare = next((s for s in self.screens if s.idle), None) or next((s for s in self.screens if not s.owed), None)
+        """Closes a screen that nobody waits for: one that connected a while ago and said nothing; else the one that
+        has rested longest between requests; else a new one; else one whose request is not whole, and so not taken
+        yet. Callers that say nothing, or only a few bytes, must not keep the others out, nor take their connections
+        from them."""
+        old = clock() - GREEN_US
+        idle = [s for s in self.screens if s.idle]
+        ranks = (
+            (s for s in idle if s.fresh and s.since < old),
+            (s for s in idle if not s.fresh),
+            iter(idle),
+        )
+        spare = next((s for rank in ranks for s in rank if s.quiet), None)
+        spare = spare or next((s for s in self.screens if not (s.idle or s.owed)), None)
         if spare:
             spare.close()
         return spare is not None
--- a/slatehub/sales_desk.py
+++ b/slatehub/sales_desk.py
@@ -53,6 +53,9 @@
     return time.monotonic_ns() // 1000 + _OFFSET
 
 
+def _nothing() -> None: ...
+
+
 class Alarm:
     """One wait's own timer. gevent counts a timer from the time its loop last looked at the clock, which may be
     long past, so a ring that comes too early waits again for what is left."""
@@ -73,11 +76,13 @@
         if clock() < self.due:
             self._set()
         else:
-            self.ring()
+            ring, self.ring = self.ring, _nothing
+            ring()
 
     def off(self) -> None:
         self.timer.stop()
         self.timer.close()
+        self.ring = _nothing  # who was to be rung most often holds this alarm: a ring of references otherwise
 
 
 _lines: dict[str, tuple[float, int]] = {}  # topic -> lines it may still print, when that was counted
@@ -284,6 +289,7 @@
     def close(self, job: Job) -> None:
         if job.answered and all(a.over for a in job.attempts):
             self.ledger.jobs.pop(job.number, None)
+            job.attempts = []  # each holds the job: a ring in which its body would wait for the collector
 
 
 class SalesDesk:
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 from types import SimpleNamespace
 from typing import Any
 
@@ -12,9 +13,22 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from paddlestep.interface import Entry, Fail, ListKind, Outcome, Refuse, Send, ServiceClass, Settings, Status
-from slatehub import machine_room
-from slatehub.machine_room import Broken, Line, MachineRoom, Order
+from paddlestep.interface import (
+    Effect,
+    Entry,
+    Fail,
+    ListKind,
+    Outcome,
+    Refuse,
+    Send,
+    ServiceClass,
+    Settings,
+    Status,
+)
+from slatehub import machine_room, order_screens
+from slatehub.cli import budget
+from slatehub.machine_room import Broken, Line, MachineRoom, Order, Printed
+from slatehub.order_screens import OrderHall, OrderScreen, Request
 from slatehub.sales_desk import Alarm, Answer, Attempt, Job, SalesDesk, Verdict, clock
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -317,6 +331,111 @@
         assert room_for(Stand(Script()), peer).report(text) == ()
 
 
+def hall_for(stand: Stand, most: int = 9, room: int = 1_000_000) -> OrderHall:
+    kind = ServiceClass("orders", Effect.UNSAFE)
+    plant: Any = SimpleNamespace(settings=Settings((kind,)), classes={"orders": 0}, accounts={})
+    return OrderHall(plant, stand.desk, most, room)
+
+
+def screen_for(hall: OrderHall, data: bytes) -> tuple[Any, OrderScreen]:
+    """A caller that has sent this, and its screen."""
+    caller, sock = socket.socketpair()
+    screen = OrderScreen(hall, sock)
+    hall.screens[screen] = None
+    caller.sendall(data)
+    rest()
+    return caller, screen
+
+
+def head(name: str, length: int = 0) -> bytes:
+    fields = f"X-Request-ID: {name}\r\nX-Priority-Class: orders\r\nX-Timeout: 60000m\r\nContent-Length: {length}"
+    return f"POST /orders HTTP/1.1\r\nHost: x\r\n{fields}\r\n\r\n".encode()
+
+
+def test_what_is_over_is_let_go_of_at_once_without_the_collector() -> None:
+    kinds = (Request, Job, Attempt, Order, Printed, OrderScreen)
+    gc.collect()
+    others = [o for o in gc.get_objects() if type(o) in kinds]  # of desks that other tests have left open
+    gc.disable()
+    try:
+        stand = Stand()
+        stand.desk.listed(ListKind.FULL, 1, (Entry(1),))
+        hall = hall_for(stand)
+        caller, screen = screen_for(hall, head("a", 3) + b"abc")
+        stand.desk.ended(stand.attempts.pop(), Status.OK, (), Printed(b"print", ""))
+        rest()
+        assert caller.recv(1000).endswith(b"print") and hall.weight == 0
+        stand.answers.clear()
+
+        def left() -> list[type]:
+            return [type(o) for o in gc.get_objects() if type(o) in kinds and not any(o is x for x in others)]
+
+        assert left() == [OrderScreen]  # the connection stays open, and holds nothing of what went over it
+        del screen
+        caller.close()
+        with gevent.Timeout(20):
+            while hall.screens or left():
+                gevent.sleep(0.005)
+    finally:
+        gc.enable()
+
+
+@pytest.mark.parametrize("sent", [b"", b"POST /orders", head("a", 9) + b"abc"])
+def test_a_caller_that_sends_no_whole_request_is_not_waited_for(sent: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("SILENT_US", "FIRST_US", "SLOW_US", "KEEP_US"):
+        monkeypatch.setattr(order_screens, name, 60_000)
+    stand = Stand()
+    hall = hall_for(stand)
+    held, _ = screen_for(hall, head("whole"))  # no node to send to: it stays in hand
+    with gevent.Timeout(20):
+        caller, _ = screen_for(hall, sent)
+        assert caller.recv(1000).startswith(b"HTTP/1.1 408" if sent else b"")
+        caller.close()
+        while len(hall.screens) > 1:
+            gevent.sleep(0.005)
+    stand.desk._overdue(next(iter(stand.desk.ledger.jobs.values())))
+    assert held.recv(1000).startswith(b"HTTP/1.1 504")  # one whose whole request is in hand is still there
+
+
+def test_requests_that_no_memory_is_left_for_are_turned_away_before_they_are_whole() -> None:
+    stand = Stand()
+    hall = hall_for(stand, room=50_000)
+    first, _ = screen_for(hall, head("a", 40_000) + b"x" * 30_000)
+    second, _ = screen_for(hall, head("b", 40_000) + b"x" * 30_000)
+    assert second.recv(1000).startswith(b"HTTP/1.1 503")
+    second.close()
+    first.sendall(b"x" * 10_000)
+    with gevent.Timeout(20):
+        while "a" not in stand.desk.ledger.names:
+            gevent.sleep(0.005)
+        first.close()
+        while hall.weight or hall.screens:
+            gevent.sleep(0.005)
+
+
+def test_who_says_nothing_makes_room_before_who_rests_and_who_sends(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(order_screens, "GREEN_US", 0)
+    hall = hall_for(Stand())
+    hall.opened = True
+    rests, resting = screen_for(hall, b"GET /ready HTTP/1.1\r\n\r\n")
+    says_nothing, silent = screen_for(hall, b"")
+    sends, sending = screen_for(hall, b"POST /or")
+    left = []
+    for _ in range(3):
+        assert hall._make_room()
+        left.append([name for name, s in (("r", resting), ("silent", silent), ("s", sending)) if not s.closed])
+    assert left == [["r", "s"], ["s"], []]
+    for caller in (rests, says_nothing, sends):
+        caller.close()
+
+
+@pytest.mark.parametrize(("sockets", "memory"), [(256, 32), (256, 64), (384, 80), (1024, 192)])
+def test_callers_get_a_third_of_the_descriptors_and_more_whatever_the_memory(sockets: int, memory: int) -> None:
+    callers, nodes, held = budget(sockets, memory)
+    assert callers > sockets // 3 and nodes >= sockets // 3 and callers + nodes + 16 <= sockets
+    assert (callers + nodes) * 24 * 1024 + 2 * held <= (memory - 16) * 1024 * 1024
+
+
 class Script:
     """A module that does as it is told, to see what the desk makes of odd actions."""
 
