--- a/slatehub/node_list.py
+++ b/slatehub/node_list.py
@@ -17,8 +17,8 @@
 from .machine_room import Broken, Line, MachineRoom, Order, host_of
 from .sales_desk import Alarm, SalesDesk, clock, say
 
-WAIT_MS = 20_000  # a watch with nothing to tell; many proxies share one discovery, which answers them in turn
-PATIENCE_US = 2_000_000  # beyond that wait: then discovery, or the way to it, is dead
+WAIT_MS = 2_500  # a watch with nothing to tell: short, as one that has fallen silent shows only when it is over
+PATIENCE_US = 1_500_000  # beyond that wait: then discovery, or the way to it, is dead
 CONNECT_US = 1_000_000  # discovery may be slow, but its machine takes a connection at once or not at all
 LIST_LIMIT = 4 * 1024 * 1024
 PHASES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -17,6 +17,8 @@
 import pytest
 from plant import BUY, LOOK, ROOT, Discovery, Plant, answer, field, member, order, plant, settings
 
+from slatehub import node_list
+
 
 @pytest.fixture(scope="module")
 def shared(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Plant]:
@@ -196,6 +198,9 @@
         p.discovery.tell([second], complete=True)
         told()
         assert any("/v1/endpoints HTTP/1.1" in call for call in calls)
+        # A watch that has fallen silent is noticed only once its wait is over: changes count as told from 6 s on.
+        waits = [int(call.partition("timeout_ms=")[2].split(" ")[0]) for call in calls if "timeout_ms=" in call]
+        assert max(waits) * 1000 + node_list.PATIENCE_US <= 4_000_000
         assert sent(p, order("ok"))[0] == 200 and len(p.nodes[1].seen) == 5
 
 
