--- a/slatehub/machine_room.py
+++ b/slatehub/machine_room.py
@@ -28,7 +28,7 @@
 CLOSE_EARLY_US = 1_000_000  # before the node closes an idle connection itself
 PROBE_US = 1_000_000
 ANSWER_US = 1_500_000  # for the rest of an answer once it has begun
-SETTLE_US = 1_000  # after an answer, before the connection is used again
+HOLD_S = 0.002  # between the last byte but one and the last of a request on a connection used before
 OUT_OF_FILES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -61,6 +61,10 @@
     """The peer's answer is not whole: the connection ended before it."""
 
 
+class Stale(Broken):
+    """A connection used before turned out to be of no more use, in time: the peer has not got a whole request."""
+
+
 class Spoilt(Broken):
     """The peer is there and has answered, with what cannot be read or is too large."""
 
@@ -142,7 +146,7 @@
         self.on_close = on_close
         self.alarm: Alarm | None = None
         self.written = False  # the last byte of the request now on it has been written
-        self.rested = 0  # since when it is idle
+        self.used = False  # has carried a request and its answer
         self.sock = socket.socket(socket.AF_INET6 if ":" in peer[0] else socket.AF_INET, socket.SOCK_STREAM)
 
     def connect(self) -> None:
@@ -150,12 +154,25 @@
         self.sock.connect(self.peer)
 
     def write(self, data: bytes) -> None:
+        """A whole request. On a connection used before, its last byte is held back until the peer has had time to say
+        that it wants no more of it: guards against a reset that meets the request (what was written whole may have run,
+        and may not go out again), and against a second copy of the last answer, or noise, still on its way, which
+        would be taken for the next one's. Costs every such request the time of HOLD_S."""
         assert self.state in ("fresh", "idle"), self.state
         if self.alarm:
             self.alarm.off()
             self.alarm = None
         self.state = "busy"
         self.written = False
+        if self.used:
+            try:
+                self.sock.sendall(data[:-1])
+            except OSError as problem:
+                raise Stale(str(problem)) from None
+            gevent.sleep(HOLD_S)
+            if self.state == "closed" or self._stirs():
+                raise Stale("ended, or spoke out of turn")
+            data = data[-1:]
         self.sock.sendall(data)
         self.written = True
 
@@ -184,16 +201,17 @@
     def park(self, due: int, ring: Callable[[], None]) -> None:
         assert self.state == "busy", self.state
         self.state = "idle"
-        self.rested = clock()
+        self.used = True
         self.alarm = Alarm(due, ring)
 
     def alive(self) -> bool:
         """Whether an idle connection may be used: anything to read now is its end, or what nobody asked for."""
-        if self.state != "idle":
-            return False
+        return self.state == "idle" and not self._stirs()
+
+    def _stirs(self) -> bool:
         poll = select.poll()
         poll.register(self.sock.fileno(), select.POLLIN | select.POLLRDHUP)
-        return not poll.poll(0)
+        return bool(poll.poll(0))
 
     def close(self) -> None:
         if self.state == "closed":
@@ -277,11 +295,10 @@
 
     # ------------------------------------------------------------ connections
 
-    def take(self, machine: Machine, settled_us: int = 0) -> Line | None:
-        """The idle connection used last, if one is still alive, of those that have rested for so long."""
-        latest = clock() - settled_us
-        for line in [x for x in reversed(machine.idle) if x.rested <= latest]:
-            machine.idle.remove(line)
+    def take(self, machine: Machine) -> Line | None:
+        """The idle connection used last, if one is still alive."""
+        while machine.idle:
+            line = machine.idle.pop()
             if line.alive():
                 return line
             line.close()
@@ -341,7 +358,7 @@
             if machine and endpoint not in self.desk.left:
                 with gevent.Timeout(PROBE_US / 1e6):
                     path = "/status/load" if self.plant.reports else "/health"
-                    line = self.take(machine, SETTLE_US)
+                    line = self.take(machine)
                     if line is None:
                         line = self.open(machine)
                         line.connect()
@@ -422,28 +439,9 @@
         machine = room.machines.get(attempt.endpoint)
         if machine is None:
             return self.stop(Status.MOOT)
-        line = room.take(machine)
-        if line and (unsettled := line.rested + SETTLE_US - clock()) > 0:
-            # Guards against a second copy of the last answer, or noise, still on its way behind it: written to at once,
-            # this connection would give it to the next job. The line is out of the pool meanwhile, and ours.
-            self.line = line
-            gevent.sleep(unsettled / 1e6)
-            if not line.alive():
-                line.close()
-                line = room.take(machine, SETTLE_US)
-        self.line = line
+        line = self._hand_over(machine)
         if line is None:
-            line = self.line = room.open(machine)
-            limit = room.plant.settings.connect_timeout_us
-            self.hurry = Alarm(clock() + limit, lambda: self.stop(Status.CONNECT_FAILED))
-            line.connect()
-            self.hurry.off()
-            self.hurry = None
-        if attempt.endpoint in room.desk.left:
-            # Told while the connection came up: a send is judged by its first byte, which is still ours to keep.
             return self.stop(Status.MOOT)
-        left = attempt.deadline - clock()
-        line.write(attempt.job.order.to_bytes(host_of(line.peer), f"X-Timeout: {max(1, left)}u\r\n"))
         reply = line.read(BODY_LIMIT, lambda: self.stop(Status.ERROR))
         report = room.report(reply.headers.get("x-server-load", ""))
         if reply.reusable:
@@ -458,3 +456,25 @@
         else:
             status = Status.ERROR  # whatever else a node may say, the request may have run
         self.stop(status, report, printed)
+
+    def _hand_over(self, machine: Machine) -> Line | None:
+        """The connection on which the whole request has been written; None where the node leaves."""
+        room, attempt = self.room, self.attempt
+        while True:
+            line = self.line = room.take(machine)
+            if line is None:
+                line = self.line = room.open(machine)
+                limit = room.plant.settings.connect_timeout_us
+                self.hurry = Alarm(clock() + limit, lambda: self.stop(Status.CONNECT_FAILED))
+                line.connect()
+                self.hurry.off()
+                self.hurry = None
+            if attempt.endpoint in room.desk.left:
+                # Told while the connection came up: a send is judged by its first byte, which is still ours to keep.
+                return None
+            left = attempt.deadline - clock()
+            try:
+                line.write(attempt.job.order.to_bytes(host_of(line.peer), f"X-Timeout: {max(1, left)}u\r\n"))
+                return line
+            except Stale:
+                line.close()  # no attempt has reached the node: the same one goes by the next connection
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -27,7 +27,7 @@
 )
 from slatehub import machine_room, order_screens
 from slatehub.cli import budget
-from slatehub.machine_room import Broken, Line, MachineRoom, Order, Printed
+from slatehub.machine_room import Broken, Line, MachineRoom, Order, Printed, Stale
 from slatehub.order_screens import OrderHall, OrderScreen, Request
 from slatehub.sales_desk import Alarm, Answer, Attempt, Job, SalesDesk, Verdict, clock
 
@@ -65,6 +65,19 @@
         assert self.peer.recv(100) == b"GET / HTTP/1.1\r\n\r\n" and self.line.written
         self.model = "busy"
 
+    @precondition(lambda self: self.model == "idle" and not self.gone and not self.noise)
+    @rule(noise=st.booleans())
+    def stale(self, noise: bool) -> None:
+        """The peer ends it, or speaks, when it meets the next request: nothing whole has been written by then."""
+        gevent.spawn(self.peer.sendall if noise else lambda _: self.peer.close(), b"?")
+        try:
+            self.line.write(b"GET / HTTP/1.1\r\n\r\n")
+            raise AssertionError("the request went out whole")
+        except Stale:
+            assert not self.line.written and (not noise or self.peer.recv(100) == b"GET / HTTP/1.1\r\n\r")
+            self.line.close()
+            self.gone, self.model = self.gone or not noise, "closed"
+
     @precondition(lambda self: self.model == "busy" and not self.gone)
     @rule(cut=st.integers(1, len(WHOLE) - 1), keep=st.booleans(), surplus=st.booleans())
     def read(self, cut: int, keep: bool, surplus: bool) -> None:
@@ -239,8 +252,11 @@
         assert ends == [status] and room.lines == (status is Status.OK and b"ok" + WHOLE not in pieces)
 
 
-def test_a_second_copy_behind_an_answer_does_not_reach_the_next_job(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(machine_room, "SETTLE_US", 100_000)
+@pytest.mark.parametrize("late", [WHOLE, b""])
+def test_a_connection_that_ends_or_speaks_at_the_next_request_is_passed_over(
+    late: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(machine_room, "HOLD_S", 0.2)
     with listen() as peer:
         module = Script(Send(1, 1), [], Send(2, 1))
         stand = Stand(module)
@@ -258,10 +274,13 @@
         rest()
         room.send(stand.attempts[1])
         rest()
-        first.sendall(WHOLE)  # on its way when the answer was read, and here only now
+        if late:
+            first.sendall(late)  # a second copy, on its way when the answer was read, and here only now
+        else:
+            first.close()
         with gevent.Timeout(20):
             second, _ = peer.accept()
-        assert second.recv(100).startswith(b"POST") and room.lines == 1
+        assert second.recv(1000).endswith(b"\r\n\r\n") and room.lines == 1 and not stand.attempts[1].over
         room.withdraw(stand.attempts[1])
 
 
