--- a/paddlestep/balance.py
+++ b/paddlestep/balance.py
@@ -269,17 +269,18 @@
 
         The paper's delay keeps a server busy while an answer travels. A server that waits for the tier below
         idles in the same way, so that wait counts as delay: each tier below is taken to need, with its own
-        queue, twice as long as the server itself. Siblings cannot take turns, so with several of them one
-        more may wait; less where many own a server, as their shares breathe instead. The server is shared by
-        all, and so are its slots."""
+        queue, as long as the server itself. More calls than that do not keep it busier; they overdrive it once
+        another server has gone, which it gets over only when few are left. Siblings cannot take turns, so with
+        several of them one more may wait; less where many own a server, as their shares breathe instead. The
+        server is shared by all, and so are its slots."""
         below = self.set.tiers - 1 - self.set.tier
         if not self.count:
-            return (1 + 3 * below) / self.set.siblings
+            return (1 + 2 * below) / self.set.siblings
         slowness = server.slowness(self.now)
         trip = max(1.0, self.mean * slowness)
         # The wait below does not grow with a slow server, so the slots that it earns shrink. Guards against
         # anything that slows one server or all of them, and lets one that is overdriven recover.
-        wait = min(1.0, 2 / max(0.1, self.stretch * slowness)) * 3 * below
+        wait = min(1.0, 2 / max(0.1, self.stretch * slowness)) * 2 * below
         spare = (self.set.siblings > 1) / (1 + 20 * self.turned) / self.owners
         return (2 * TP_US * (1 + below) / trip + 1 + wait + spare) / self.set.siblings
 
