--- a/paddlestep/balance.py
+++ b/paddlestep/balance.py
@@ -85,7 +85,8 @@
         self.credit_at = now
         self.home = False  # dealt to this sidecar
         self.warm = 0  # idle connections, as far as we can tell
-        self.down = 0  # when it last looked dead; 0: has answered since
+        self.broke = 0  # when a call last broke off; 0: has answered since
+        self.down = 0  # when it last looked dead
         self.slots = self.free = self.flow = self.counted = 0.0  # its part in the sums of the sidecar
         self.out = False  # counted as ejected
 
@@ -639,10 +640,20 @@
         self.unlinked += ((e.status is Status.CONNECT_FAILED) - self.unlinked) * 0.03
         if e.status in (Status.OK, Status.ERROR, Status.FULL):
             s.warm += 1
-        if e.status is Status.RESET or (e.status is Status.CONNECT_FAILED and s.strikes and not s.flights):
+        # One connection may break and the server be there: it has died if nothing of it answers before the next
+        # call breaks or finds nobody. Guards against connections that break one by one, which would leave every
+        # server to the budget of a cold one. May harm one back at once that we had one call at and send the rest.
+        unheard = s.broke or s.strikes
+        if (e.status is Status.RESET and s.broke) or (
+            e.status is Status.CONNECT_FAILED and unheard and not s.flights
+        ):
             s.down = self.now
-        elif e.status is Status.OK and self.now - e.latency_us < s.down:
-            s.down = 0  # it was there all along
+        if e.status is Status.RESET:
+            s.broke = self.now
+        elif e.status in (Status.OK, Status.ERROR, Status.FULL):
+            s.broke = 0
+            if e.status is Status.OK and self.now - e.latency_us < s.down:
+                s.down = 0  # it was there all along
         if e.status is Status.OK:
             self.learn(s, request.cls, e.latency_us)
             s.fulls = 0
