The module's sums stay right after a drain: a draining server took its slots off twice

Ruled out: pauses, ejection (printed beside), the list (told at once). At fault: Balancer.deal zeroes the sums but not the parts of servers that are no longer ready, so their next outcome takes the old part off once more; out_count likewise.

--- a/paddlestep/balance.py
+++ b/paddlestep/balance.py
@@ -326,11 +326,13 @@
         self.groups = {}
         self.slots = self.free = self.flow = self.badness = 0.0
         self.out_count = 0
+        for s in self.servers.values():  # also one that drains: its last outcomes would take its part off again
+            s.slots = s.free = s.flow = s.counted = 0.0
+            s.out = False
         for i, s in enumerate(self.ready):
             s.home = first <= i < first + homes
             self.groups.setdefault((Scope.ZONE, s.entry.zone), []).append(s)
             self.groups.setdefault((Scope.CELL, s.entry.cell), []).append(s)
-            s.slots = s.free = s.flow = s.counted = 0.0
             s.out = s.ejected > self.now
             self.out_count += s.out
             self.refresh(s)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -57,6 +57,21 @@
     assert 2 <= sum(len(sends(front.ask(i))) for i in range(1, 9)) <= 5
 
 
+def test_the_last_answers_of_a_server_that_drains_take_no_slots_from_the_others():
+    d = Driver(settings(tiers=2), servers=3)
+    d.serve(1, 40)
+    for i in range(100, 106):
+        d.ask(i)
+    d.balancer.servers[1].ejected = d.now + 10 * S
+    d.give(ListUpdate(ListKind.DELTA, 2, (Entry(2, State.DRAINING), Entry(1))))
+    for i in range(100, 106):
+        d.end(i)
+    b = d.balancer
+    ready = [s for s in b.ready if s.ejected <= d.now]
+    assert b.slots == pytest.approx(sum(b.share(s) for s in ready)) and b.free == pytest.approx(b.slots)
+    assert b.out_count == len(b.ready) - len(ready) == 1
+
+
 def test_two_fronts_of_three_tiers_together_hold_six_calls_at_a_server():
     # Eight on one core were enough to overdrive it, and it then stayed a third as fast for as long as they stayed.
     total = 0
