The second ramp of returning nodes goes; the module's cold budget is the one

Two parts held back a node that had come back: the module's cold budget, and beside it NodeRamp (`decisions/ramp.py`, off by default), told to the module by an event of its own (`Eased`).

--- a/paddlestep/balance.py
+++ b/paddlestep/balance.py
@@ -15,7 +15,7 @@
 from random import Random
 
 from .interface import (
-    Action, Arrival, Cancel, ClientGone, Eased, Effect, Entry, Event, Fail, ListKind, ListUpdate, Log,
+    Action, Arrival, Cancel, ClientGone, Effect, Entry, Event, Fail, ListKind, ListUpdate, Log,
     NewSettings, Outcome, Refuse, Scope, Send, ServiceClass, SetTimer, Settings, State, Status, StreamStarted,
     TimerFired, Watch,
 )
@@ -87,7 +87,6 @@
         self.ghosts: deque[int] = deque()  # when calls given up on should have left the server
         self.credit = credit  # sends allowed by the cold-start budget
         self.credit_at = now
-        self.ease = 1.0  # part of its capacity that it may be asked for, as we are told
         self.purse = 3.0  # further attempts that its failures may still cost
         self.home = False  # dealt to this sidecar
         self.near = False  # among those that calls go to first
@@ -183,8 +182,6 @@
                 self.armed = 0
             elif isinstance(e, NewSettings):
                 self.adopt(e.settings)
-            elif isinstance(e, Eased) and e.endpoint in self.servers:
-                self.servers[e.endpoint].ease = e.share
         self.run_due()
         self.dispatch()
         self.taken = self.slots - self.free
@@ -372,9 +369,9 @@
         # back cold under the same id before the list says so. May harm one that was merely out of reach.
         since = max(server.entry.since_us, server.down)
         if not since or not self.set.warm_after_us:
-            return server.ease
+            return 1.0
         age = max(0, self.now - since) / self.set.warm_after_us
-        return min(server.ease, self.set.cold_from + (1 - self.set.cold_from) * age)
+        return min(1.0, self.set.cold_from + (1 - self.set.cold_from) * age)
 
     def arrive(self, a: Arrival) -> None:
         if a.request in self.requests:
--- a/paddlestep/interface.py
+++ b/paddlestep/interface.py
@@ -217,17 +217,8 @@
     settings: Settings
 
 
-@dataclass(frozen=True, slots=True)
-class Eased:
-    """How much of its capacity an endpoint may be asked for from now on, 0 (not) to 1 (all), besides its cold start."""
-
-    endpoint: int
-    share: float
-
-
 Event = (
     ListUpdate | Arrival | StreamStarted | Outcome | ClientGone | TimerFired | Probed | PeerMessage | NewSettings
-    | Eased
 )
 
 # ---------------------------------------------------------------- actions
--- a/slatehub/cli/main.py
+++ b/slatehub/cli/main.py
@@ -62,7 +62,7 @@
 
 def recovery(plant: Plant) -> RecoveryTerms:
     storms = plant.operator.storms
-    return RecoveryTerms(storms.watch, storms.advice, storms.ramp)  # type: ignore[arg-type]  # checked by the reader
+    return RecoveryTerms(storms.watch, storms.advice)  # type: ignore[arg-type]  # checked by the reader
 
 
 def settle_log(plant: Plant) -> None:
--- a/slatehub/core/desk.py
+++ b/slatehub/core/desk.py
@@ -139,7 +139,6 @@
                     self.left.pop(entry.endpoint, None)
                 else:
                     self.left.setdefault(entry.endpoint, now)
-        self.recovery.listed(now, entries)
         self.waiting.append(ListUpdate(kind, version, entries))
 
     def connected(self, now: int) -> None:
@@ -202,15 +201,11 @@
             self.recover(now, problem)
 
     def _look(self, now: int, events: list[Event] | None = None) -> None:
-        """What the recovery subsystem makes of it: news for the module's next turn, lines for the log."""
-        module = self.balancer
+        """What the recovery subsystem makes of it: lines for the log."""
         for e in events or ():
             if isinstance(e, Outcome):
-                s = module.servers.get(e.endpoint)
-                self.recovery.booked(now, e, s is not None and s.ejected > now, s is not None and s.down == now)
-        news, lines = self.recovery.turned(now, module.waiting, module.slots)
-        self.waiting += news
-        self.acts += lines
+                self.recovery.booked(now, e)
+        self.acts += self.recovery.turned(now, self.balancer.waiting, self.balancer.slots)
 
     def _asked(self, now: int, waiting: list[Event | Job], events: list[Event]) -> list[Action]:
         if self.recorder is None:
--- a/slatehub/core/recovery.py
+++ b/slatehub/core/recovery.py
@@ -6,12 +6,10 @@
 
 from dataclasses import dataclass
 from random import Random
-from typing import Literal
 
-from paddlestep.interface import Eased, Entry, Event, Outcome, Settings, State, Status
+from paddlestep.interface import Outcome, Settings
 
 from ..decisions.advice import AdviceTerms, Adviser, Way, adviser
-from ..decisions.ramp import NodeRamp, RampTerms
 from ..decisions.stop import PlannedStop
 from ..decisions.storm import Phase, StormDetector, StormTerms
 from .actions import Say
@@ -19,24 +17,19 @@
 
 ADVICE_MOST_US = 60_000_000
 AIM_PART = 4  # a caller is sent away for this part of the shortest aim at the most: later it is served for nothing
-Ramps = Literal["none", "starts", "all", "reports"]
 EVERY_PLACE = 2**31
 MOST_SIBLINGS = 8  # of more, so few repeats are recognised that chance would tell of storms
-SHORTEST_RAMP_US, LEAST_SHARE = 1_000_000, 0.01
 
 
 @dataclass(frozen=True, slots=True)
 class RecoveryTerms:
-    """What of it is on. `advice`: the way in which refused callers are told when to come back. `ramp`: whether nodes
-    get their load gradually, beside the module's cold budget: after a start ("starts"), after an ejection too ("all"),
-    or after a start by the nodes' own reports, where nobody knows how many proxies there are ("reports")."""
+    """What of it is on. `advice`: the way in which refused callers are told when to come back."""
 
     watch: bool = True
     advice: Way = "appointments"
-    ramp: Ramps = "none"
 
 
-OFF = RecoveryTerms(False, "none", "none")
+OFF = RecoveryTerms(False, "none")
 
 
 class Recovery:
@@ -47,18 +40,14 @@
         self.seed = seed
         self.stop: PlannedStop | None = None
         self.storm: StormDetector | None = None
-        self.ramp: NodeRamp | None = None
-        self.out: set[int] = set()  # nodes that the module has ejected
         self.seen = (0, 0)
         self.flooded = False
         self.crowded = False  # the module holds jobs
         self.advice_terms: AdviceTerms | None = None
-        self.ramp_terms: RampTerms | None = None
         self.resettle(terms, settings)
 
     def resettle(self, terms: RecoveryTerms, settings: Settings) -> None:
-        """New terms or settings. Appointments that were given are forgotten where the way changes, ramps where the
-        node's cold start does."""
+        """New terms or settings. Appointments that were given are forgotten where the way changes."""
         self.terms, self.settings = terms, settings
         seen = (len(settings.tenants), settings.siblings)
         if not terms.watch:
@@ -66,13 +55,10 @@
         elif self.storm is None or self.seen != seen:
             self.storm = StormDetector(_storm(settings), len(settings.tenants))
         self.seen = seen
-        advice, ramp = _advice(terms, settings), _ramp(terms, settings)
+        advice = _advice(terms, settings)
         if self.advice_terms != advice:
             self.advice_terms = advice
             self.adviser: Adviser = adviser(advice, Random(self.seed))
-        if self.ramp_terms != ramp:
-            self.ramp_terms = ramp
-            self.ramp = NodeRamp(ramp) if ramp else None
 
     # ------------------------------------------------------------ jobs
 
@@ -118,44 +104,19 @@
 
     # ------------------------------------------------------------ nodes
 
-    def listed(self, now: int, entries: tuple[Entry, ...]) -> None:
-        for entry in entries if self.ramp else ():
-            assert self.ramp
-            if entry.state is State.GONE:
-                self.ramp.gone(entry.endpoint)
-                self.out.discard(entry.endpoint)
-            elif entry.state is State.READY and entry.since_us:
-                self.ramp.started(now, entry.endpoint, entry.since_us)
-
-    def booked(self, now: int, outcome: Outcome, ejected: bool, dead: bool) -> None:
-        """The module has heard of an outcome. `ejected`: it leaves the node out; `dead`: it has just taken it for dead.
-        One broken call is no sign of that: guards against a node that spoils some answers and is never full again."""
-        qps, util = self._report(outcome)
+    def booked(self, now: int, outcome: Outcome) -> None:
+        """The module has heard of an outcome; its report says how busy the node is."""
+        util = dict(zip(self.settings.report_columns, outcome.report, strict=False)).get("util")
         if self.storm and util is not None:
             self.storm.report(now, outcome.endpoint, util)
-        if self.ramp is None:
-            return
-        ejected = ejected and self.terms.ramp == "all"
-        if dead or (ejected and outcome.endpoint not in self.out):
-            self.ramp.sank(now, outcome.endpoint)
-        elif not ejected and outcome.endpoint in self.out and outcome.status is Status.OK:
-            self.ramp.returned(now, outcome.endpoint)
-        (self.out.add if ejected else self.out.discard)(outcome.endpoint)
-        self.ramp.answered(now, outcome.endpoint, outcome.status is Status.OK, qps, util)
-
-    def _report(self, outcome: Outcome) -> tuple[float | None, float | None]:
-        named = dict(zip(self.settings.report_columns, outcome.report, strict=False))
-        return named.get("qps"), named.get("util")
 
     # ------------------------------------------------------------ time
 
-    def turned(self, now: int, waiting: int, slots: float) -> tuple[list[Event], list[Say]]:
-        """After a turn of the module, with the jobs that it holds and its slots: what it is to be told, and lines for
-        the log."""
+    def turned(self, now: int, waiting: int, slots: float) -> list[Say]:
+        """After a turn of the module, with the jobs that it holds and its slots: lines for the log."""
         self.adviser.backlog(now, waiting, slots)
         self.crowded = waiting > 0
-        events: list[Event] = [Eased(*told) for told in self.ramp.advance(now)] if self.ramp else []
-        return events, self._told(now) if self.storm else []
+        return self._told(now) if self.storm else []
 
     def _told(self, now: int) -> list[Say]:
         """A change of phase, and a flood of one account, which changes none."""
@@ -174,8 +135,7 @@
 
     def due(self) -> int | None:
         """When the desk should take a turn for this alone."""
-        times = [x.due() for x in (self.ramp, self.storm) if x]
-        return min((t for t in times if t is not None), default=None)
+        return self.storm.due() if self.storm else None
 
 
 def _storm(settings: Settings) -> StormTerms:
@@ -193,11 +153,3 @@
     aim = min(kind.aim_us for kind in settings.classes) // AIM_PART
     most = min(settings.max_retry_after_us, aim, ADVICE_MOST_US) if allowed else 0
     return AdviceTerms(way=terms.advice if most else "none", most_us=most)
-
-
-def _ramp(terms: RecoveryTerms, settings: Settings) -> RampTerms | None:
-    if terms.ramp == "none" or settings.warm_after_us < SHORTEST_RAMP_US:
-        return None
-    first = min(1.0, max(LEAST_SHARE, settings.cold_from))
-    siblings = 0 if terms.ramp == "reports" else settings.siblings
-    return RampTerms(from_=first, span_us=settings.warm_after_us, siblings=siblings)
--- a/slatehub/settings/operator.py
+++ b/slatehub/settings/operator.py
@@ -115,7 +115,6 @@
     watch: bool = flag(True)  # say in the log when a storm begins and ends
     advice: str = one_of("appointments", "exponential", "fixed", "none")  # to refused callers, where allowed
     pace: bool = flag(True)  # new connections, of callers and to nodes, under a crowd
-    ramp: str = one_of("none", "starts", "all", "reports")  # nodes get their load gradually, beside the cold budget
 
     def check(self) -> None: ...
 
--- a/slatelab/model/proxy.py
+++ b/slatelab/model/proxy.py
@@ -34,7 +34,7 @@
 def recovery(scenario: Scenario) -> RecoveryTerms:
     """What the operator's file would say."""
     storms = scenario.proxy.storms
-    return RecoveryTerms(storms.watch, storms.advice, storms.ramp)
+    return RecoveryTerms(storms.watch, storms.advice)
 
 
 class Caller(Screen, Protocol):
--- a/slatelab/scenario/types.py
+++ b/slatelab/scenario/types.py
@@ -38,7 +38,6 @@
 
     watch: bool = True
     advice: Literal["appointments", "exponential", "fixed", "none"] = "appointments"
-    ramp: Literal["none", "starts", "all", "reports"] = "none"
     pace: bool = True  # (engine live; the model paces no connections)
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -32,7 +32,6 @@
     TimerFired,
     Watch,
 )
-from paddlestep.interface import Eased
 
 
 def test_first_come_first_served_up_to_one_call_each_then_refilled_by_answers():
@@ -734,17 +733,3 @@
         return sum(not finals(d.give(Arrival(100 + i, 0, left_us=1 * S, **more))) for i in range(25))
 
     assert taken(kept=True) == taken() and taken(reserve=4) == taken() - 4
-
-
-def test_an_eased_server_gets_less_until_it_is_told_to_be_well():
-    d = Driver(settings(tiers=2), servers=2)
-    d.serve(1, 40)
-    d.give(Eased(1, 0.05))
-    burst = [a.endpoint for i in range(100, 130) for a in sends(d.ask(i))]
-    assert 0 < burst.count(1) < burst.count(2)
-    for i in range(100, 130):
-        d.end(i, over=True)
-    d.give(Eased(1, 1.0), Eased(77, 0.5))  # a server that is not there: nothing
-    d.wait(1 * S)
-    again = [a.endpoint for i in range(200, 230) for a in sends(d.ask(i))]
-    assert again.count(1) == again.count(2)
