Lists that are none drop no node; desk, attempts and screens after a fault of our own

Discovery (`node_list.py`): an answer `{"complete": true}` without members, with members as an object, or with "complete" as a text emptied the list; an id or figure of a wrong type was taken; changes older than those known brought back who had gone; without a revision, or where every watch was answered at once, it was asked without a pause. Now such an answer changes nothing and the whole list is asked for after the module's wait; two calls are 20 ms apart at the least; at most 65,536 nodes. Tables: numbers, addresses and the desk's marks of nodes that were grew with every new id: 100 ids replaced left 100 rows in four tables; now the last 1,024 gone are kept. An id that a list names which is not taken gets no number.

Desk: timers that the module asks anew for one far moment piled up, 400 after 400 s of one order of an hour, now 1; a failure in `admit` ended the greenlet that asks the module (it was outside of the try); a tick of nothing rang 20 times as often as now (at least 1 ms apart). Attempts (`Errand._run`): a failure that nobody expects was told as a reset also where nothing had been written: an order that must not run twice failed though it never ran. Screens: an answer to a job that has ended here could have answered the next request on the connection. Callers: `Transfer-Encoding: gzip` and a second line `chunked` passed for chunked and went on; 400 now.

Each has a test that fails before.

--- a/slatehub/core/desk.py
+++ b/slatehub/core/desk.py
@@ -40,6 +40,7 @@
 from .recovery import OFF, Recovery, RecoveryTerms
 from .stages import Admit, Advise, Book, Ledger, Relay, Route, SendOut, TakeIn
 
+TICK_LEAST_US = 1_000  # guards against settings by which the module would be rung without a pause
 SERVER = re.compile(r"server ([0-9a-f]{12}) ")  # how the module names a node in a line for the log
 
 
@@ -66,6 +67,7 @@
         self.waiting: list[Event | Job] = []  # for the next turn
         self.acts: list[Act] = []
         self.timers: list[tuple[int, int]] = []  # (due, token) of the module: a heap
+        self.tokens: set[int] = set()  # of these timers
         self.recorder: Recorder | None = None
         self.ledger = Ledger()
         self.recovery = Recovery(terms, settings, seed)
@@ -134,7 +136,10 @@
             if kind is not ListKind.DELTA:
                 entries += self._missing(entries)
             for entry in entries:
-                self.nodes[entry.endpoint] = entry
+                if entry.state is State.GONE:
+                    self.nodes.pop(entry.endpoint, None)
+                else:
+                    self.nodes[entry.endpoint] = entry
                 if entry.state is State.READY:
                     self.left.pop(entry.endpoint, None)
                 else:
@@ -151,9 +156,17 @@
         return tuple(
             Entry(n, State.GONE, e.since_us, e.weight, e.cell, e.kind, e.zone)
             for n, e in self.nodes.items()
-            if n not in fresh and e.state is not State.GONE
+            if n not in fresh
         )
 
+    def long_gone(self, most: int) -> list[int]:
+        """Nodes that are gone, but for the last `most` of them: nothing of these need be known any more, and what was
+        known here is forgotten. Guards against tables that grow with every id that a node has ever had."""
+        gone = [n for n in self.left if n not in self.nodes][:-most]
+        for endpoint in gone:
+            del self.left[endpoint]
+        return gone
+
     def resettle(self, settings: Settings, most: int, terms: RecoveryTerms = OFF) -> None:
         """The settings have been read anew: whatever comes in after this goes by them."""
         self.settings = settings
@@ -173,7 +186,9 @@
     def ring(self, now: int) -> None:
         """Time has passed: what is due by now."""
         while self.timers and self.timers[0][0] <= now:
-            self.waiting.append(TimerFired(heappop(self.timers)[1]))
+            token = heappop(self.timers)[1]
+            self.tokens.discard(token)
+            self.waiting.append(TimerFired(token))
         # The module answers before this; guards against a fault that would leave the caller without an answer.
         for job in self.ledger.overdue(now):
             self._give_up(job, Answer(Verdict.OVERDUE), now)
@@ -191,8 +206,8 @@
         """Asks the module with everything that waits. Whatever it answers, or fails with, every job in hand is still
         owed one answer."""
         waiting, self.waiting = self.waiting, []
-        events = [self.admit(e, now) if isinstance(e, Job) else e for e in waiting]
         try:
+            events = [self.admit(e, now) if isinstance(e, Job) else e for e in waiting]
             actions = self._asked(now, waiting, events)
             for action in actions:
                 self._act(action, now)
@@ -225,9 +240,12 @@
             elif attempt:
                 self.send_out(attempt)
         elif isinstance(action, SetTimer):
-            # The module thinks in ticks; a timer may come up to one late, and then finds more to do at once.
-            tick = max(1, self.settings.tick_us)
-            heappush(self.timers, (-(-(now + action.delay_us) // tick) * tick, action.token))
+            # The module thinks in ticks; a timer may come up to one late, and then finds more to do at once. It asks
+            # anew for one that it has forgotten: guards against as many timers for one far moment as there were turns.
+            tick = max(TICK_LEAST_US, self.settings.tick_us)
+            if action.token not in self.tokens:
+                self.tokens.add(action.token)
+                heappush(self.timers, (-(-(now + action.delay_us) // tick) * tick, action.token))
         elif isinstance(action, Refuse):
             self._final(action.request, Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us), now)
         elif isinstance(action, Fail):
@@ -262,9 +280,9 @@
             self.book.close(job)
         self.waiting.clear()
         self.timers.clear()
+        self.tokens.clear()
         self.balancer = Balancer(self.settings, self.seed + 1)
-        ready = tuple(e for e in self.nodes.values() if e.state != State.GONE)
-        self.waiting.append(ListUpdate(ListKind.CACHED, 0, ready))
+        self.waiting.append(ListUpdate(ListKind.CACHED, 0, tuple(self.nodes.values())))
         if self.recorder:
             self.recorder.fault(problem)
 
--- a/slatehub/discovery/node_list.py
+++ b/slatehub/discovery/node_list.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, Protocol
 
 import gevent
@@ -14,7 +14,7 @@
 from paddlestep.interface import Entry, ListKind, State
 
 from ..core.jobs import Order
-from ..decisions.maintenance import Maintenance
+from ..decisions.maintenance import LONGEST_ID, Maintenance
 from ..drivers.clock import Alarm, clock
 from ..drivers.desk import DeskDriver
 from ..drivers.line import Broken, Line, host_of, to_bytes
@@ -26,6 +26,10 @@
 PATIENCE_US = 1_500_000  # beyond that wait: then discovery, or the way to it, is dead
 CONNECT_US = 1_000_000  # discovery may be slow, but its machine takes a connection at once or not at all
 LIST_LIMIT = 4 * 1024 * 1024
+LEAST_GAP_US = 20_000  # between two calls: a discovery that answers every watch at once must not be asked without end
+MOST_NODES = 65_536
+MOST_GONE = 1_024  # nodes that are remembered after they have gone: calls to them may still be out
+FARTHEST = 2**52  # of any figure
 PHASES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 
 
@@ -36,6 +40,8 @@
 
     def forget(self, endpoint: int) -> None: ...
 
+    def drop(self, endpoint: int) -> None: ...
+
 
 class NodeList:
     def __init__(self, plant: Plant, desk: DeskDriver, room: Places, by_hand: Maintenance | None = None) -> None:
@@ -53,15 +59,17 @@
     def start(self) -> None:
         """The list as this proxy last had it, perhaps old: better than none until discovery answers."""
         self.check(self.plant)
-        self._take(self.plant.known, ListKind.CACHED)
+        if self.plant.known:
+            self._take(self.plant.known, ListKind.CACHED)
 
     def check(self, plant: Plant) -> None:
         """Whether the list in the settings can be read."""
         try:
-            for member in plant.known.get("members", []):
-                self._row(member, lambda ident: 1)
+            for member in _members(plant.known) if plant.known else ():
+                self._row(member)
         except (ValueError, KeyError, TypeError, AttributeError, ConfigError) as problem:
-            raise ConfigError(f"known: cannot be read: {problem}") from None
+            text = f"{type(problem).__name__}: {problem}"[:200]
+            raise ConfigError(f"EDGE_CONFIG: known: cannot be read: {text}") from None
 
     def resettle(self, plant: Plant) -> None:
         """New settings. Where discovery has moved, the old one is left at once, without waiting for its end, and the
@@ -93,10 +101,11 @@
         assert watcher is not None
         try:
             while True:
+                asked = clock()
                 tree = self._ask(watcher)
-                whole = bool(tree["complete"])
-                self._take(tree, ListKind.FULL if whole else ListKind.DELTA)
+                self._take(tree, self._kind(tree))
                 self.fresh.set()
+                gevent.sleep(max(0, asked + LEAST_GAP_US - clock()) / 1e6)
         except (OSError, Broken, gevent.Timeout) as problem:
             say("discovery", f"call failed: {type(problem).__name__}: {problem}", "warning")
         except Exception as problem:
@@ -146,9 +155,24 @@
 
     # ------------------------------------------------------------ reading
 
+    def _kind(self, tree: Any) -> ListKind:
+        """What an answer of discovery's is. ValueError where it does not say so beyond doubt: half a list taken for a
+        whole one would drop every node that it does not name, and changes older than what is known bring back who has
+        gone."""
+        whole, revision = tree["complete"], tree["revision"]
+        if not isinstance(whole, bool) or type(revision) is not int or not 0 <= revision < FARTHEST:
+            raise ValueError("complete must be true or false, and revision a number")
+        if not whole and revision < (self.revision or 0):
+            raise ValueError(f"revision {revision} goes back from {self.revision}")
+        return ListKind.FULL if whole else ListKind.DELTA
+
     def _take(self, tree: Any, kind: ListKind) -> None:
-        rows = [(str(member["id"]), *self._row(member, self.numbers.of)) for member in tree.get("members", [])]
+        # Of a node that stands there twice the last word counts.
+        read = {member["id"]: self._row(member) for member in _members(tree)}
+        if len(read) + (len(self.told) if kind is ListKind.DELTA else 0) > MOST_NODES:
+            raise ValueError(f"more than {MOST_NODES} nodes")
         # Only now, when all of it could be read, does any of it count.
+        rows = [(ident, replace(entry, endpoint=self.numbers.of(ident)), peer) for ident, (entry, peer) in read.items()]
         if kind is not ListKind.DELTA:
             self.told.clear()
         for ident, entry, peer in rows:
@@ -169,6 +193,9 @@
         self.desk.listed(kind, self.revision or 0, tuple(entry for entry, _ in laid))
         for endpoint in self.desk.left:
             self.room.forget(endpoint)
+        for endpoint in self.desk.long_gone(MOST_GONE):
+            self.room.drop(endpoint)
+            self.numbers.forget(endpoint)
 
     # ------------------------------------------------------------ by hand
 
@@ -194,18 +221,37 @@
         if ident in self.told:
             self._show(ListKind.DELTA, [(ident, *self.told[ident])])
 
-    def _row(self, member: Any, number: Callable[[str], int]) -> tuple[Entry, Address | None]:
-        state = PHASES[member["phase"]]
+    def _row(self, member: Any) -> tuple[Entry, Address | None]:
+        """A node as it is told of, without its number yet."""
+        ident, state = member["id"], PHASES[member["phase"]]
+        if not isinstance(ident, str) or not 0 < len(ident) <= LONGEST_ID or not ident.isprintable():
+            raise ValueError("an id must be a text that prints")
         peer = None if state is State.GONE else address(member["host_port"], "host_port")
         # One clock is read by all machines; ours counts from the same epoch. 0 means long ago and stays 0.
-        since = max(0, int(member.get("up_since_ms") or 0)) * 1000
+        since = max(0, int(_figure(member, "up_since_ms", 0))) * 1000
         entry = Entry(
-            endpoint=number(str(member["id"])),
+            endpoint=0,
             state=state,
             since_us=since,
-            weight=float(member.get("size", 1.0)),
-            cell=int(member.get("cell") or 0),
+            weight=float(_figure(member, "size", 1.0)),
+            cell=int(_figure(member, "cell", 0)),
             kind=self.plant.kinds.get(str(member.get("flavor")), 0),
             zone=self.plant.zones.get(str(member.get("locality")), 0),
         )
         return entry, peer
+
+
+def _members(tree: Any) -> list[Any]:
+    members = tree["members"]
+    if not isinstance(members, list):
+        raise ValueError("members is no list")
+    return members
+
+
+def _figure(member: Any, key: str, usual: float) -> float:
+    value = member.get(key)
+    if value is None:
+        return usual
+    if isinstance(value, bool) or not isinstance(value, int | float) or not abs(value) < FARTHEST:
+        raise ValueError(f"{key} is no number")
+    return value
--- a/slatehub/discovery/numbers.py
+++ b/slatehub/discovery/numbers.py
@@ -24,3 +24,7 @@
             self.idents[number] = ident
             self._numbers[ident] = number
         return self._numbers[ident]
+
+    def forget(self, number: int) -> None:
+        """A node that nobody has known for long: should its id come back, it gets the same number by its hash."""
+        self._numbers.pop(self.idents.pop(number, ""), None)
--- a/slatehub/drivers/desk.py
+++ b/slatehub/drivers/desk.py
@@ -74,6 +74,9 @@
         self.desk.listed(clock(), kind, version, entries)
         self._carry_out()
 
+    def long_gone(self, most: int) -> list[int]:
+        return self.desk.long_gone(most)
+
     def connected(self) -> None:
         """A caller has made a new connection."""
         self.desk.connected(clock())
--- a/slatehub/fronts/http1/screens.py
+++ b/slatehub/fronts/http1/screens.py
@@ -85,9 +85,11 @@
         return self.serving or self.orders.qsize() > 0
 
     def answer(self, job: Job, answer: Answer) -> None:
-        if self.closed and answer.printed and answer.printed.rest:
+        wanted = job is self.job  # else it was for a request that has ended here, and must not answer the next one
+        if (self.closed or not wanted) and answer.printed and answer.printed.rest:
             answer.printed.rest.leave()
-        self.result.set(answer)
+        if wanted:
+            self.result.set(answer)
 
     def close(self) -> None:
         if self.closed:
@@ -323,9 +325,10 @@
             deadline = self.hall.end.limit(deadline)
         key = order_key(request, cls, account)
         job = Job(headers["x-request-id"], cls, account, deadline - MARGIN_US, order, self, repeat, key)
+        self.job = job  # before the desk, which may answer it at once
         if not self.hall.desk.order(job):
+            self.job = None
             return Bad(409, "this X-Request-ID is still in hand", last=False)
-        self.job = job
         answer = self.result.get()
         self.job = None
         self.result = AsyncResult()  # the old one holds the answer
--- a/slatehub/fronts/http1/taker.py
+++ b/slatehub/fronts/http1/taker.py
@@ -11,6 +11,10 @@
 from ...drivers.clock import clock
 from ..check import Bad, Request, origin
 
+SINGLE = (
+    "content-length", "transfer-encoding", "host", "x-request-id", "x-priority-class", "x-tenant-id", "x-timeout",
+)  # fmt: skip
+
 
 class Taker:
     """Parses what a caller sends; httptools calls its on_ methods. Whole requests, or one fault at the end, are
@@ -114,8 +118,7 @@
         self.busy = self.expects = False
         if self.fault:
             return
-        single = ("content-length", "host", "x-request-id", "x-priority-class", "x-tenant-id", "x-timeout")
-        if self.twice.intersection(single):
+        if self.twice.intersection(SINGLE):
             self.fault = Bad(400, "a header stands twice")
             return
         self.done.append(
--- a/slatehub/nodes/http1.py
+++ b/slatehub/nodes/http1.py
@@ -70,6 +70,11 @@
             self.close_idle(machine)
         self.pace.gone(endpoint)
 
+    def drop(self, endpoint: int) -> None:
+        """Nobody will name this node any more."""
+        self.forget(endpoint)
+        self.machines.pop(endpoint, None)
+
     @property
     def keep_us(self) -> int:
         """How long an idle connection is kept: the node must not be the one to close it."""
@@ -136,7 +141,8 @@
 
     def park(self, machine: Machine, line: Line, endpoint: int) -> None:
         """After an answer: kept for the next call, unless the node has moved or leaves."""
-        if line.peer != machine.peer or endpoint in self.desk.left:
+        gone = endpoint in self.desk.left or self.machines.get(endpoint) is not machine
+        if gone or line.peer != machine.peer:
             line.close()
             return
         line.park(clock() + self.keep_us, lambda: self._drop(machine, line))
@@ -240,7 +246,7 @@
             self._say("fault", f"attempt failed: {type(problem).__name__}: {problem}", "error", problem)
         finally:
             # Guards against a fault of our own above: the job still gets its outcome, and so its answer.
-            self.stop(Status.RESET)
+            self.stop(broken(self._written))
 
     def _say(self, topic: str, text: str, level: str, problem: Exception | None = None) -> None:
         node = self.room.desk.idents.get(self.attempt.endpoint)
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -5,6 +5,7 @@
 
 from dataclasses import replace
 
+from audit import Audit, at_rest
 from hypothesis import settings as hypo
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -22,6 +23,7 @@
     retry_after=True, max_retry_after_us=1_000_000, cold_from=0.3, warm_after_us=2_000_000,
     report_columns=("qps", "util"),
 )  # fmt: skip
+STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 500, Verdict.OVERDUE: 504}
 ENDS = [Status.OK, Status.ERROR, Status.FULL, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED]
 
 
@@ -42,6 +44,8 @@
         self.left: set[str] = set()
         self.serial = 0
         self.end: PlannedStop | None = None
+        self.terms = TERMS
+        self.audit = Audit(("look",), ("buy",), slack="1 ms", attempts=3, second_copies=True)
         self.desk.listed(self.now, ListKind.FULL, 1, tuple(Entry(n) for n in range(1, 5)))
         self.settle()
 
@@ -58,6 +62,7 @@
         for act in self.desk.take_acts():
             if isinstance(act, Deliver):
                 self.answers[act.job.name].append(act.answer)
+                self.audit.answered(self.now, act.job.name, STATUS[act.answer.verdict], act.answer.printed or "")
             elif isinstance(act, Start):
                 job = act.attempt.job
                 assert not job.answered and self.now < act.attempt.deadline <= job.deadline
@@ -65,7 +70,12 @@
                 self.out.append(act.attempt)
             elif isinstance(act, Withdraw) and not act.attempt.over:
                 self.out.remove(act.attempt)
-                self.desk.ended(self.now, act.attempt, Status.CANCELLED)
+                self.floor_ended(act.attempt, Status.CANCELLED)
+
+    def floor_ended(self, attempt: Attempt, status: Status, report: tuple[float, ...] = ()) -> None:
+        token = f"{attempt.job.name}/{attempt.number}"
+        self.audit.ended(self.now, attempt, status, token)
+        self.desk.ended(self.now, attempt, status, report, token)
 
     @rule(cls=st.integers(0, 1), left=st.integers(0, 1_200_000), again=st.booleans())
     def order(self, cls: int, left: int, again: bool) -> None:
@@ -79,6 +89,7 @@
         deadline = self.end.limit(self.now + left) if self.end else self.now + left
         self.jobs[name] = job = Job(name, cls, 0, deadline, None, Nobody(), again, key=left % 7)
         self.answers[name], self.sent[name] = [], 0
+        self.audit.asked(self.now, name, KINDS[cls].name, job.deadline)
         assert self.desk.order(self.now, job)
         assert (due := self.desk.due()) is None or due >= self.now, "a driver's alarm would ring without end"
         self.settle()
@@ -87,7 +98,7 @@
     @rule(pick=st.integers(0, 99), status=st.sampled_from(ENDS), twice=st.booleans())
     def ended(self, pick: int, status: Status, twice: bool) -> None:
         attempt = self.out.pop(pick % len(self.out))
-        self.desk.ended(self.now, attempt, status, (30.0, pick / 99) if pick % 3 else (), "print")
+        self.floor_ended(attempt, status, (30.0, pick / 99) if pick % 3 else ())
         if twice:  # a floor that tells it again must not be believed
             self.desk.ended(self.now, attempt, Status.RESET)
         self.settle()
@@ -98,6 +109,7 @@
         if names:
             name = names[pick % len(names)]
             self.left.add(name)
+            self.audit.left(self.now, name)
             self.desk.gone(self.now, self.jobs[name])
             self.settle()
 
@@ -107,6 +119,27 @@
         self.desk.listed(self.now, ListKind.DELTA, 2, (Entry(node, state, since_us=since),))
         self.settle()
 
+    @rule(nodes=st.sets(st.integers(1, 6)), kind=st.sampled_from([ListKind.FULL, ListKind.CACHED, ListKind.FAILED]))
+    def listed_whole(self, nodes: set[int], kind: ListKind) -> None:
+        """Empty and filled again, a whole one between changes, an old one, or none to be had."""
+        self.desk.listed(self.now, kind, 3, tuple(Entry(n) for n in nodes) if kind is not ListKind.FAILED else ())
+        assert len(self.desk.long_gone(2)) <= 6 and len(self.desk.left) <= 6
+        self.settle()
+
+    @rule(attempts=st.integers(1, 3), siblings=st.integers(1, 3), classes=st.integers(2, 4))
+    def resettled(self, attempts: int, siblings: int, classes: int) -> None:
+        """Settings read anew: classes are added, the number of siblings and so the order among them changes."""
+        kinds = (*self.terms.classes, *(ServiceClass(f"c{n}") for n in range(classes - len(self.terms.classes))))
+        self.terms = replace(self.terms, classes=kinds, max_attempts=attempts, siblings=siblings, me=siblings - 1)
+        self.desk.resettle(self.terms, 12, RecoveryTerms())
+        self.settle()
+
+    @rule()
+    def module_fails(self) -> None:
+        """All in hand are answered at once, and a new module goes on."""
+        self.desk.recover(self.now, ValueError("planted"))
+        self.settle()
+
     @precondition(lambda self: self.end is None)
     @rule()
     def stop(self) -> None:
@@ -123,7 +156,7 @@
             self.now = max(self.now, due)
             for attempt in [a for a in self.out if a.deadline <= self.now]:
                 self.out.remove(attempt)
-                self.desk.ended(self.now, attempt, Status.TIMEOUT)
+                self.floor_ended(attempt, Status.TIMEOUT)
             self.desk.ring(self.now)
             self.settle()
         self.now = until
@@ -140,13 +173,16 @@
                 assert 0 <= answer.retry_after_us <= TERMS.max_retry_after_us
                 assert not answer.retry_after_us or answer.verdict is Verdict.REFUSED
             if answers and answers[0].verdict is Verdict.SERVED:
-                assert answers[0].printed == "print" and self.sent[name]
+                assert answers[0].printed.startswith(f"{name}/") and self.sent[name]
         assert all(not a.over for a in self.out)
+        servers = self.desk.balancer.servers.values()
+        assert all(s.flights >= 0 for s in servers) and self.desk.balancer.inflight >= 0
+        assert self.desk.balancer.waiting >= 0 and self.desk.balancer.out_count >= 0
 
     def teardown(self) -> None:
         self.wait(5_000_000)
-        assert not self.desk.ledger.jobs and not self.desk.ledger.names, "kept after its end"
-        assert self.desk.ledger.first_end() is None and not self.desk.balancer.requests
+        at_rest(self.desk)
+        self.audit.check()
 
 
 DeskModel.TestCase.settings = hypo(
@@ -155,6 +191,66 @@
 TestDesk = DeskModel.TestCase
 
 
+def test_a_stage_that_fails_leaves_nobody_without_an_answer() -> None:
+    desk = SalesDesk(TERMS, 1, 100)
+    desk.listed(1, ListKind.FULL, 1, (Entry(1),))
+    desk.turn(1)
+    for wrong in ("admit", "route"):
+        sound, job = getattr(desk, wrong), Job(wrong, 0, 0, 900_000, None, Nobody())
+        setattr(desk, wrong, None)
+        assert desk.order(2, job)
+        desk.turn(2)
+        (told,) = [a.answer.verdict for a in desk.take_acts() if isinstance(a, Deliver)]
+        assert told is Verdict.FAILED and not desk.ledger.jobs
+        setattr(desk, wrong, sound)
+        desk.turn(3)
+    at_rest(desk)
+
+
+def test_timers_for_one_far_moment_do_not_pile_up() -> None:
+    desk = SalesDesk(replace(TERMS, may_cancel=False), 1, 100)
+    desk.listed(0, ListKind.FULL, 1, (Entry(1),))
+    now, hour = 1_000_000, 3_600_000_000
+    desk.order(now, Job("long", 1, 0, hour, None, Nobody()))  # a node that never answers it
+    desk.turn(now)
+    for n in range(200):
+        desk.order(now, Job(f"a{n}", 1, 0, now + 300_000, None, Nobody()))
+        desk.turn(now)
+        until = now + 1_000_000
+        while (due := desk.due()) is not None and due <= until:
+            now = max(now, due)
+            desk.ring(now)
+            if desk.waiting:
+                desk.turn(now)
+        now = until
+    assert len(desk.timers) <= 4 and set(desk.ledger.names) == {"long"}
+
+
+def test_settings_with_a_tick_of_nothing_do_not_make_it_ring_without_a_pause() -> None:
+    desk = SalesDesk(replace(TERMS, tick_us=1), 1, 100)
+    now = 1_000_000
+    for n in range(5):
+        desk.order(now, Job(f"a{n}", 1, 0, now + 400_000, None, Nobody()))  # there is no node: they are held
+    desk.turn(now)
+    rings = 0
+    while (due := desk.due()) is not None and due < 1_200_000:
+        now, rings = max(now + 1, due), rings + 1
+        desk.ring(now)
+        if desk.waiting:
+            desk.turn(now)
+    assert rings <= 420
+
+
+def test_nodes_long_gone_are_forgotten_and_those_that_drain_are_not() -> None:
+    desk = SalesDesk(TERMS, 1, 100)
+    desk.listed(1, ListKind.FULL, 1, (Entry(1, State.DRAINING), Entry(2)))
+    for n in range(10, 40):
+        desk.listed(n, ListKind.DELTA, n, (Entry(n),))
+        desk.listed(n, ListKind.DELTA, n, (Entry(n, State.GONE),))
+    assert desk.long_gone(5) == list(range(10, 35)) and list(desk.left) == [1, *range(35, 40)]
+    assert set(desk.nodes) == {1, 2} and desk.long_gone(5) == []
+
+
 def test_a_clock_that_jumps_far_ahead_answers_everybody_once_and_leaves_nothing() -> None:
     desk = SalesDesk(TERMS, 1, 100)
     for n in range(50):
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import gevent
+import gevent.event
 import pytest
 from gevent import socket
 from hypothesis import settings as hypo
@@ -28,6 +29,8 @@
 from slatehub.core.desk import SalesDesk
 from slatehub.core.jobs import Answer, Attempt, Job, Order, Printed, Verdict
 from slatehub.decisions.shares import split
+from slatehub.discovery import node_list
+from slatehub.discovery.node_list import NodeList
 from slatehub.drivers import line as lines
 from slatehub.drivers.clock import Alarm, clock
 from slatehub.drivers.desk import DeskDriver
@@ -553,3 +556,81 @@
         assert room.lines == 0
         for conn in crowd:
             conn.close()
+
+
+def test_an_attempt_that_fails_within_us_before_it_was_written_never_ran() -> None:
+    module = Script(Send(1, 1))
+    stand = Stand(module)
+    with listen() as peer:
+        room = room_for(stand, peer)
+        room.machines[1].peer = ("no..host", 1)  # what resolves it raises what nobody expects
+        stand.job("a")
+        rest()
+        room.send(stand.attempts[0])
+        while not (ends := [e.status for e in module.events if isinstance(e, Outcome)]):
+            gevent.sleep(0.001)
+        assert ends == [Status.CONNECT_FAILED] and room.lines == 0
+
+
+def test_an_answer_to_a_request_that_has_ended_here_never_answers_the_next_one() -> None:
+    hall: Any = SimpleNamespace(desk=SimpleNamespace(gone=lambda job: None), weight=0, freed=gevent.event.Event())
+    hall.leave = lambda screen: None
+    ours, theirs = socket.socketpair()
+    screen = OrderScreen(hall, ours)
+    left: list[str] = []
+    rest_: Any = SimpleNamespace(leave=lambda: left.append("left"))
+    old, new = (Job(name, 0, 0, 1, None, screen) for name in ("old", "new"))
+    screen.job = new
+    screen.answer(old, Answer(Verdict.SERVED, Printed(b"old", "", rest_)))
+    assert not screen.result.ready() and left == ["left"]
+    screen.answer(new, Answer(Verdict.REFUSED))
+    assert screen.result.get(timeout=1) == Answer(Verdict.REFUSED)
+    screen.close()
+    theirs.close()
+
+
+def test_a_discovery_that_answers_every_watch_at_once_is_not_asked_without_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    stand = Stand()
+    plant: Any = SimpleNamespace(kinds={}, zones={}, known={})
+    with listen() as peer:
+        listing = NodeList(plant, stand.desk, room_for(stand, peer))
+        now, asked, waits = [1_000_000], [0], []
+        monkeypatch.setattr(node_list, "clock", lambda: now[0])
+
+        def ask(watcher: Any) -> Any:
+            asked[0] += 1
+            now[0] += 50_000 if asked[0] == 3 else 100
+            if asked[0] == 5:
+                raise OSError("enough")
+            return {"revision": 1, "complete": asked[0] == 1, "members": []}
+
+        monkeypatch.setattr(listing, "_ask", ask)
+        monkeypatch.setattr(node_list.gevent, "sleep", waits.append)
+        listing.watcher = gevent.getcurrent()  # type: ignore[assignment]
+        listing._watch()
+        assert asked == [5] and [round(w, 4) for w in waits] == [0.0199, 0.0199, 0, 0.0199]
+
+
+def test_tables_of_nodes_do_not_grow_with_the_nodes_that_were(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_list, "MOST_GONE", 8)
+    stand = Stand()
+    plant: Any = SimpleNamespace(kinds={}, zones={}, known={})
+    with listen() as peer:
+        host, port = peer.getsockname()
+        room = room_for(stand, peer)
+        listing = NodeList(plant, stand.desk, room)
+        old = room.machines[1]
+        for n in range(100):
+            for phase in ("SERVING", "DRAINING", "DELETED"):
+                node = {"id": f"s-{n}", "host_port": f"{host}:{port}", "phase": phase}
+                listing._take({"revision": n, "complete": False, "members": [node]}, ListKind.DELTA)
+            rest()
+        assert len(stand.desk.idents) == len(listing.numbers._numbers) == len(stand.desk.left) == 8
+        assert len(room.machines) == 9 and not listing.told and not stand.core.nodes
+        assert not stand.core.balancer.servers and stand.desk.idents.keys() == stand.desk.left.keys()
+        del room.machines[1]
+        line = room.open(old)
+        line.connect()
+        line.write([b"GET / HTTP/1.1\r\n\r\n"])
+        room.park(old, line, 1)  # a call that was out all the while
+        assert line.state == "closed" and room.lines == 0
