Settings: any value is taken or named with its file, and none stops the proxy

Bounds stand in one table (`LEAST`), counts are at most 4,096, also on the simulator's wire; every message names EDGE_CONFIG with its path and the key. Lines at fault: `load`, `_whole`, `_positive` (math.isfinite of a large whole number raises), `number` in operator.py, `parse_settings`.

--- a/paddlestep/wire.py
+++ b/paddlestep/wire.py
@@ -36,6 +36,7 @@
 )
 
 FRAME_LIMIT = 1 << 28
+MOST_ITEMS = 4096  # of a list in the settings
 HEAD = struct.Struct(">IIQ")
 ENTRY = struct.Struct(">fQH6sHBH")
 
@@ -267,6 +268,13 @@
     def whole(self, path: str, default: int | None = None) -> int:
         return int(self.number(path, default))
 
+    def count(self, path: str, default: int | None = None) -> int:
+        """Of the items of a list."""
+        number = self.whole(path, default)
+        if not 0 <= number <= MOST_ITEMS:
+            raise WireError(f"bad settings: {path} is not between 0 and {MOST_ITEMS}: {number}")
+        return number
+
     def flag(self, path: str, default: bool = False) -> bool:
         value = self.text(path, "true" if default else "false")
         if value not in ("true", "false"):
@@ -310,10 +318,10 @@
             p.number(f"tenants.{i}.share", 1.0),
             p.number(f"tenants.{i}.allowance_per_s", 0.0),
         )
-        for i in range(p.whole("tenants.count", 0))
+        for i in range(p.count("tenants.count", 0))
     )
     return Settings(
-        classes=tuple(_class(p, f"services.{i}.") for i in range(p.whole("services.count"))),
+        classes=tuple(_class(p, f"services.{i}.") for i in range(p.count("services.count"))),
         tenants=tenants,
         me=p.whole("me", 0),
         siblings=max(1, p.whole("siblings")),
--- a/slatehub/settings/operator.py
+++ b/slatehub/settings/operator.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 import os
 from collections.abc import Callable
 from dataclasses import dataclass, field, fields
@@ -42,7 +41,7 @@
 
     def rule(value: Any) -> float:
         good = isinstance(value, int if whole else (int, float)) and not isinstance(value, bool)
-        if not good or not math.isfinite(value) or not least <= value <= most:
+        if not good or not least <= value <= most:  # neither nan nor infinity is
             raise ValueError(f"must be a {kind} from {least:g} to {most:,}")
         return int(value) if whole else float(value)
 
--- a/slatehub/settings/reader.py
+++ b/slatehub/settings/reader.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import json
-import math
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from typing import Any
@@ -20,6 +19,17 @@
 __all__ = ["Address", "ConfigError", "Plant", "address", "flatten", "load", "renew"]
 
 Address = tuple[str, int]
+LARGEST = 8 * 1024 * 1024  # bytes of the file: a list of nodes at its largest, twice over
+FAR = 2**53  # of any figure
+LONGEST_NAME = 256
+MOST_ITEMS = 4096  # of a list in the settings
+# What the settings may be at the least, where less would stop the proxy or have it spin. Missing ones are the module's.
+LEAST = {
+    "tick_us": 1, "siblings": 0, "me": 0, "my_zone": 0, "tier": 0, "allowed.connect_timeout_us": 1,
+    "allowed.max_retry_after_us": 0, "obligations.answer_slack_us": 0, "obligations.drain_grace_us": 0,
+    "obligations.ask_every_us": 10_000, "obligations.cold_from": 0, "obligations.warm_after_us": 0,
+    "obligations.fall_multiple": 0, "obligations.tip_after_us": 0,
+}  # fmt: skip
 MOST_PLACES = 256  # of classes, and of accounts: more than a file has, so that numbers are seldom used again
 
 
@@ -94,8 +104,8 @@
 
 def _whole(tree: Any, path: str, default: int, least: int) -> int:
     value = _item(tree, path, (int, float), default)
-    if not math.isfinite(value) or value < least:
-        raise ConfigError(f"{path}: must be a number, {least} or more: {value!r}")
+    if not least <= value < FAR:  # neither nan nor infinity is
+        raise ConfigError(f"{path}: must be a number, {least} or more: {str(value)[:60]}")
     return int(value)
 
 
@@ -123,7 +133,7 @@
     for key in sorted(old.keys - new.keys):
         listed = key.rpartition("[]")[0]  # what an empty list's items would have is not missed
         if not listed or any(x.startswith(listed + "[]") for x in new.keys):
-            raise ConfigError(f"{key}: missing, and the file in force has it")
+            raise ConfigError(f"EDGE_CONFIG: {key}: missing, and the file in force has it")
 
 
 def _placed(names: dict[str, int], fresh: dict[str, int], rows: list[Any], new: tuple[Any, ...]) -> dict[str, int]:
@@ -167,18 +177,24 @@
     raise ValueError(f"{text} is no JSON")
 
 
-def _terms(raw: dict[str, Any]) -> None:
-    """Attempts and deadlines, on which every answer hangs: finite numbers above 0."""
-    allowed = raw.get("allowed")
+def _terms(tree: dict[str, Any]) -> None:
+    """Attempts and deadlines, on which every answer hangs: finite numbers above 0. Lists must be lists, as a count of
+    their items is read from what they flatten to; and no figure may lie where the proxy would spin or stand still."""
+    allowed = tree["settings"].get("allowed")
     _positive(allowed.get("max_attempts") if isinstance(allowed, dict) else None, "settings.allowed.max_attempts", 1)
-    for i, kind in enumerate(_item(raw, "services", list, [])):
+    for i, kind in enumerate(_item(tree, "settings.services", list, [])):
         for key in ("slo_us", "hard_limit_us") if isinstance(kind, dict) else ():
             _positive(kind.get(key), f"settings.services.{i}.{key}", 0)
+    for key in ("tenants", "stages", "kinds", "zones"):
+        if len(_item(tree, f"settings.{key}", list, [])) > MOST_ITEMS:
+            raise ConfigError(f"settings.{key}: more than {MOST_ITEMS}")
+    for key, least in LEAST.items():
+        _whole(tree, f"settings.{key}", max(least, 1), least)
 
 
 def _positive(value: Any, key: str, least: float) -> None:
     number = isinstance(value, (int, float)) and not isinstance(value, bool)
-    if not number or not math.isfinite(value) or value <= 0 or value < least:
+    if not number or not least <= value < FAR or value <= 0:
         raise ConfigError(f"{key}: must be a number above 0: {str(value)[:60]!r}")
 
 
@@ -189,12 +205,30 @@
     if not path:
         raise ConfigError("EDGE_CONFIG: not set")
     try:
-        with open(path, encoding="utf-8") as file:
-            tree = json.load(file, parse_constant=_no_number)
+        plant = _plant(_tree(path), environ)
+    except ConfigError as problem:
+        raise ConfigError(f"EDGE_CONFIG {path}: {problem}") from None
+    except RecursionError:
+        raise ConfigError(f"EDGE_CONFIG {path}: cannot be read as JSON: nested too deeply") from None
+    return replace(plant, operator=operator.read(own or environ.get("SLATEHUB_OPERATOR", "")))
+
+
+def _tree(path: str) -> dict[str, Any]:
+    try:
+        with open(path, "rb") as file:
+            data = file.read(LARGEST + 1)
+        if len(data) > LARGEST:
+            raise ValueError(f"larger than {LARGEST} bytes")
+        tree = json.loads(data.decode(), parse_constant=_no_number)
     except (OSError, ValueError) as problem:  # ValueError: also JSON and UTF-8 errors
-        raise ConfigError(f"EDGE_CONFIG: cannot be read as JSON: {problem}") from None
+        reason = problem.strerror if isinstance(problem, OSError) else problem
+        raise ConfigError(f"cannot be read as JSON: {reason}") from None
     if not isinstance(tree, dict):
-        raise ConfigError("EDGE_CONFIG: must hold one JSON object")
+        raise ConfigError("must hold one JSON object")
+    return tree
+
+
+def _plant(tree: dict[str, Any], environ: Mapping[str, str]) -> Plant:
     keys = keys_of(tree)
     for key in ("name", "listen", "discovery", "mgmt"):
         tree.setdefault(key, environ.get("EDGE_" + key.upper()))
@@ -204,16 +238,19 @@
     except ValueError:
         raise ConfigError(f"seed: not a hexadecimal number: {seed[:60]!r}") from None
     raw = _item(tree, "settings", dict)
-    _terms(raw)
+    _terms(tree)
     try:
         settings = parse_settings("\n".join(flatten(raw)))
     except WireError as problem:
         raise ConfigError(f"settings: {problem}") from None
     if not settings.classes:
         raise ConfigError("settings.services: names no class")
+    name = _item(tree, "name", str)
+    if not name.isprintable() or not 0 < len(name) <= LONGEST_NAME:
+        raise ConfigError(f"name: must be a text of 1 to {LONGEST_NAME} characters that print")
     classes, accounts = _numbered(tree, "settings.services"), _numbered(tree, "settings.tenants")
     return Plant(
-        name=_item(tree, "name", str),
+        name=name,
         listen=address(_item(tree, "listen", str), "listen"),
         discovery=address(_item(tree, "discovery", str), "discovery"),
         seed=seed,
@@ -232,5 +269,4 @@
         idle_us=_whole(tree, "settings.allowed.conn_idle_us", 30_000_000, 1),
         reports=_item(tree, "settings.report.source", str, "none") != "none",
         mgmt=address(_item(tree, "mgmt", str), "mgmt") if tree["mgmt"] is not None else None,
-        operator=operator.read(own or environ.get("SLATEHUB_OPERATOR", "")),
     )
--- a/tests/plant.py
+++ b/tests/plant.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import os
 import socket
@@ -10,11 +11,14 @@
 import sys
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
+from audit import Audit
+
 ROOT = Path(__file__).parents[1]
 LOOK, BUY = "job-status", "order-place"
 
@@ -119,7 +123,24 @@
 }
 
 
+def now_us() -> int:
+    return time.monotonic_ns() // 1000 - START
+
+
+def token(body: bytes) -> str:
+    return hashlib.blake2b(body, digest_size=6).hexdigest()
+
+
+START = time.monotonic_ns() // 1000 - 1_000_000
+MADE = {"chunks": b"abcde"}  # by the last part of the path: a body that is whole and served; else what SCRIPT says
+TURNED, SPOILT = ("full", "over"), ("reset", "half", "garbage", "two-framings", "silent")
+
+
 class Node(Peer):
+    """`audit`: who is told what comes and what is answered."""
+
+    audit: Audit | None = None
+
     def __init__(self) -> None:
         super().__init__()
         self.go = threading.Event()  # lets what is asked to wait go on
@@ -128,6 +149,9 @@
 
     def reply(self, conn: socket.socket, head: str, body: bytes) -> bool:
         action = head.split(" ")[1].partition("?")[0].rpartition("/")[2]
+        request = field(head, "x-request-id")
+        if self.audit:
+            self.audit.came(now_us(), self.address, request)
         if action == "silent":
             self.waiting.release()
             if not conn.recv(1):
@@ -137,6 +161,12 @@
             self.waiting.release()
             self.go.wait(20)
             action = "ok"
+        if self.audit and action not in SPOILT:
+            data = body if action == "echo" else SCRIPT[action][0]
+            status = 200 if action == "echo" else int(data.split(b" ", 2)[1].split(b"\r")[0])
+            status = int(data.split(b"\r\n\r\n")[-2].split(b" ")[1][:3]) if status < 200 else status
+            made = token(body if action == "echo" else MADE.get(action, b"done")) if status == 200 else ""
+            self.audit.replied(now_us(), self.address, request, status, action in TURNED, made)
         if action == "echo":
             conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             return True
@@ -201,6 +231,9 @@
         start = ["-c", run] if code else ["-m", "slatehub", "serve"]
         popen = {"stderr": subprocess.PIPE} if popen is None else popen
         self.log: list[str] = []
+        self.ending = False  # whoever loses a connection from now on has lost it to the test's end
+        self.asked: list[tuple[int, bytes]] = []
+        self.answered: list[tuple[int, bytes, int, bytes]] = []
         self.process = subprocess.Popen([sys.executable, "-B", *start], cwd=ROOT, text=True, env=env, **popen)
         if not self.process.stderr:
             host, _, port = tree["listen"].rpartition(":")
@@ -233,8 +266,16 @@
 
     def ask(self, data: bytes) -> tuple[int, str, bytes]:
         with self.connect() as conn:
-            conn.sendall(data)
-            return answer(conn)
+            self.asked.append((now_us(), data))
+            try:
+                conn.sendall(data)
+                found = answer(conn)
+            except OSError:
+                if not self.ending:
+                    self.answered.append((now_us(), data, 0, b""))
+                raise
+            self.answered.append((now_us(), data, found[0], found[2]))
+            return found
 
 
 def until(true: Callable[[], Any]) -> Any:
@@ -258,6 +299,7 @@
 
 
 count = 0
+issued: Counter[str] = Counter()  # ids that a test has used more than once tell nothing
 
 
 def order(action: str, cls: str = BUY, body: bytes = b"", method: str = "", **headers: str) -> bytes:
@@ -267,6 +309,7 @@
     fields = {"Host": "app.svc", "X-Request-ID": f"id{count}", "X-Priority-Class": cls, "X-Tenant-Id": "cantina etna",
               "X-Timeout": "20000m"}  # fmt: skip
     fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+    issued[fields["X-Request-ID"]] += 1
     if method == "POST":
         fields.setdefault("Content-Length", str(len(body)))
     lines = "".join(f"{k}: {v}\r\n" for k, v in fields.items() if v)
@@ -282,6 +325,39 @@
         return [request for node in self.nodes for request in node.seen]
 
 
+def judged(audit: Audit, program: Program) -> None:
+    """The rules, of every request whose id was used once. Callers who asked on a connection of their own are taken to
+    have left at the end: of theirs, only what the nodes saw is judged."""
+    facts, asks = list(audit.facts), Counter(data for _, data in program.asked)
+
+    def known(data: bytes) -> str:
+        request = field(data.partition(b"\r\n\r\n")[0].decode("latin-1"), "x-request-id")
+        return request if issued[request] == 1 and asks[data] == 1 and data.startswith((b"POST ", b"GET ")) else ""
+
+    came = {f.request: f for f in reversed(facts) if hasattr(f, "work_us")}
+    named = {known(data) for _, data in program.asked}
+    audit.facts = [f for f in facts if issued[getattr(f, "request", "")] < 2]
+    mine = set()
+    for t, data in program.asked:
+        if request := known(data):
+            mine.add(request)
+            audit.asked(t, request, data.split(b"/")[1].decode("latin-1"), t + 20_000_000)
+    for t, data, status, body in program.answered:
+        if (request := known(data)) in mine:
+            mine.discard(request)
+            if status:
+                audit.answered(t, request, status, token(body))
+            else:
+                audit.broken_off(t, request)
+    for request in mine:  # still waiting when the test ended
+        audit.left(now_us(), request)
+    for request, fact in came.items():
+        if request not in named and issued[request] == 1:
+            audit.asked(fact.t - 1, request, "", fact.t + 20_000_000)
+            audit.left(fact.t + 1, request)
+    audit.check()
+
+
 @contextmanager
 def plant(
     tmp: Path, nodes: int = 1, faults: bool = False, kind: type[Node] = Node, **more: Any
@@ -290,15 +366,21 @@
     for peer in peers:  # a test cannot know which of them is asked
         peer.go, peer.waiting, peer.left = peers[0].go, peers[0].waiting, peers[0].left
     members = [member(f"s-{i}", peer.address) for i, peer in enumerate(peers)]
+    audit = Audit((LOOK,), (BUY,), slack="10 s")
+    for peer in peers:
+        peer.audit = audit if kind is Node else None
     discovery = Discovery(members)
     program = Program(tmp, members, discovery.address, **more)
     try:
         yield Plant(program, peers, discovery)
     finally:
+        program.ending = True
         for peer in peers:
             peer.go.set()
         program.process.kill()
         program.process.wait()
         for peer in (*peers, discovery):
             peer.sock.close()
+        if kind is Node:
+            judged(audit, program)
         assert faults or not [line for line in program.log if "Traceback" in line or "fault" in line]
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -284,5 +284,5 @@
         assert renew(p, torn, "stay in force: recorder.batches: cannot record: OSError: torn").startswith("time=")
         asleep = {"members": [{"id": "s-1", "phase": "ASLEEP"}]}
         good = "[log]\nburst = 100\nformat = 'json'"
-        assert renew(p, good, "old ones stay in force: known", known=asleep).startswith("time=")
+        assert renew(p, good, "old ones stay in force: EDGE_CONFIG: known", known=asleep).startswith("time=")
         assert json.loads(renew(p, good, "read again and in force", known=tree["known"]))["topic"] == "settings"
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -347,8 +347,8 @@
         assert answer(kept)[0] == 200
         held = pool.submit(p.program.ask, order("wait"))
         assert p.nodes[0].waiting.acquire(timeout=20)
-        renew("old ones stay in force: discovery: ", discovery="nowhere")
-        renew("old ones stay in force: known: ", known={"members": [{"id": "s-1", "phase": "ASLEEP"}]})
+        renew("config.json: discovery: not an address", discovery="nowhere")
+        renew("old ones stay in force: EDGE_CONFIG: known: ", known={"members": [{"id": "s-1", "phase": "ASLEEP"}]})
         elsewhere = Discovery([first, {**second, "phase": "DRAINING"}, third])
         new = settings(max_attempts=2)
         new["services"].insert(0, {**new["services"][0], "name": "harvest", "idempotency": "fragile"})
