Handover: a sibling that says nothing keeps no next process waiting; an odd yes is no yes

Seen: the old process greets those who connect to its socket one after the other, each for up to 1.5 s (`_accept` calling `_give`); with three connections that say nothing a new process was not answered in its own 1.5 s, took it that nobody is there, and the old one never let its door rest. A status that is no number ended an operator's call with a fault, and a "re" that cannot be a key ended the link. Ruled out: the load of the loop (nothing else ran in the test).

Each is greeted in a greenlet of its own, four at the most, and only one takes over; a status counts as a yes from 200 to 499 only. tests/test_handover.py: two tests more, of which the first and six of seven cases of the second fail before.

--- a/slatehub/handover/link.py
+++ b/slatehub/handover/link.py
@@ -69,7 +69,8 @@
     def _take(self, trees: list[Tree]) -> None:
         for tree in trees:
             if "re" in tree:
-                if result := self.asked.get(tree["re"]):
+                number = tree["re"]
+                if isinstance(number, int) and (result := self.asked.get(number)):
                     result.set(tree)
             else:
                 gevent.spawn(self._answer, tree)
--- a/slatehub/handover/succession.py
+++ b/slatehub/handover/succession.py
@@ -20,6 +20,7 @@
 
 HELLO_S = 1.5  # for the old process to answer a new one; its loop may be busy
 ACK_S = 0.5  # for the other process to do what an operator asks: a caller waits 1 s
+MOST_GREETED = 4  # processes that have connected and not yet said what they are
 LONGEST_PATH = 100  # of a Unix socket, by the system
 
 
@@ -60,6 +61,7 @@
         self.before: Link | None = None  # to the process that was there
         self.after: Link | None = None  # to the one that takes over
         self.rests = False
+        self.greeted = 0
         self.sock: Any = None
         self.greenlet: Any = None
 
@@ -131,14 +133,21 @@
                     return
                 gevent.sleep(0.05)
                 continue
-            if self.after:
+            if self.after or self.greeted >= MOST_GREETED:
                 peer.close()  # one at a time
                 continue
-            try:
-                self._give(peer)
-            except (OSError, BadWords, gevent.Timeout) as problem:
-                say("handover", f"a process that wants to take over: {problem}", "warning")
-                peer.close()
+            self.greeted += 1
+            gevent.spawn(self._greet, peer)
+
+    def _greet(self, peer: Any) -> None:
+        """In a greenlet of its own: one that connects and says nothing must not keep the next process waiting."""
+        try:
+            self._give(peer)
+        except (OSError, BadWords, gevent.Timeout) as problem:
+            say("handover", f"a process that wants to take over: {problem}", "warning")
+            peer.close()
+        finally:
+            self.greeted -= 1
 
     def _give(self, peer: Any) -> None:
         words = Words()
@@ -147,6 +156,8 @@
             hello = trees[0]
             if hello.get("version") != VERSION or hello.get("name") != self.name:
                 raise BadWords("of another version or name")
+            if self.after:
+                raise BadWords("another one takes over already")
             door = self.body.listener(hello.get("listen"))
             if door is None:
                 peer.sendall(b"N")
@@ -187,7 +198,8 @@
         back has nothing to do."""
         for link in (self.before, self.after):
             reply = link.ask(tree, ACK_S) if link else None
-            if link and link.open and (reply is None or reply.get("status", 500) >= 500):
+            status = reply.get("status") if reply else None
+            if link and link.open and not (isinstance(status, int) and 200 <= status < 500):
                 return False
         return True
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -9,13 +9,17 @@
 from contextlib import contextmanager
 from pathlib import Path
 
+import gevent
 import pytest
+from gevent import socket as gsocket
 from hypothesis import given
 from hypothesis import settings as hypo
 from hypothesis import strategies as st
 from plant import LOOK, Plant, Program, answer, member, order, plant, until
 
+from slatehub.handover.link import Link
 from slatehub.handover.place import place_of
+from slatehub.handover.succession import Succession
 from slatehub.handover.words import LARGEST, BadWords, Words, pack
 
 READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -186,3 +190,77 @@
                 assert conn.recv(10) == b""
         more.append(second(tmp_path, p))
         assert any("takes over" in x for x in more[0].log) and more[0].ask(order("ok"))[0] == 200
+
+
+class Alone:
+    """A process with nothing to hand over; it notes what it is told."""
+
+    def __init__(self) -> None:
+        self.said: list[object] = []
+
+    def holds(self) -> dict[str, object]:
+        return {"out": {}, "back": {}, "drained": False}
+
+    def listener(self, listen: object) -> None:
+        return None
+
+    def do(self, tree: dict[str, object]) -> int:
+        self.said.append(tree.get("call"))
+        return 200
+
+    def rest(self) -> None:
+        self.said.append("rest")
+
+    def resume(self) -> None:
+        self.said.append("resume")
+
+    def two(self, linked: bool) -> None: ...
+
+
+def test_a_sibling_that_says_nothing_keeps_no_next_process_waiting(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("tempfile.tempdir", str(tmp_path))
+    old, new, listen = Alone(), Alone(), ("127.0.0.1", 1)
+    first = Succession("n0", listen, old)
+    first.serve()
+    mute = [gsocket.socket(gsocket.AF_UNIX, gsocket.SOCK_STREAM) for _ in range(3)]
+    for sock in mute:
+        sock.connect(str(first.path))
+    mute[0].sendall(b'{"vers')  # half a word
+    gevent.sleep(0)
+    second = Succession("n0", listen, new)
+    assert second.meet() is not None
+    second.serve()
+    assert old.said == ["rest"] and second.tell({"call": "fail", "ident": ""}) and old.said == ["rest", "fail"]
+    for sock in mute:
+        sock.close()
+    assert second.before
+    second.before.close()
+    while "resume" not in old.said:  # the link has ended: nobody may be left without a door
+        gevent.sleep(0.001)
+
+
+@pytest.mark.parametrize("odd", [None, True, [], {}, "x", 1e308, -1])
+def test_odd_words_on_a_link_are_no_fault_and_never_a_yes(odd: object) -> None:
+    ours, theirs = gsocket.socketpair()
+    heard: list[object] = []
+    ended: list[Link] = []
+
+    def answer(tree: dict[str, object]) -> dict[str, object]:
+        heard.append(tree)
+        return {"status": 200}
+
+    link = Link(ours, Words(), [], answer, ended.append)
+    theirs.sendall(pack({"re": odd}) + pack({"call": odd, "ident": odd, "n": odd}))
+    while not heard:
+        gevent.sleep(0.001)
+    two = Succession("n0", ("127.0.0.1", 1), Alone())
+    two.before = link
+    asked = gevent.spawn(two.tell, {"call": "ok"})
+    gevent.sleep(0)
+    theirs.sendall(pack({"re": 1, "status": odd}))
+    assert asked.get(timeout=20) is False and link.open
+    theirs.close()
+    while not ended:
+        gevent.sleep(0.001)
