Idle parts go: probes of nodes, the rule on short patience, arguments always 0

Shown idle: nothing has ever asked for a probe (`Probe` is not among the module's imports), yet the way for one went through the desk, the driver, the floor, the table of outcomes, the settings and the lab's model.

--- a/paddlestep/balance.py
+++ b/paddlestep/balance.py
@@ -395,7 +395,7 @@
         if self.ready:  # keeps the sums near the pool's estimates as these move
             self.turn += 1
             self.refresh(self.ready[self.turn % len(self.ready)])
-        low = self.over_share(a.tenant) or a.left_us < self.expected(a.cls)
+        over = self.over_share(a.tenant)
         # With nobody to send to there is no N: requests wait for a server as long as they can.
         # Who keeps an appointment finds the places that are kept free for it; a newcomer does not.
         room = self.room(wanted) * (self.favour(a.cls) if front else 1.0) - a.reserve
@@ -403,10 +403,9 @@
         self.let_in[a.cls] += (let_in - self.let_in[a.cls]) * 0.05
         if not let_in:
             self.finish(request)
-        elif front and low and not a.kept and (self.waiting or self.used > 0.8 * self.slots):
-            # Beyond a tenant's allowance, or likely to be given up before it ends: leaves the last fifth of
-            # the slots to others and never waits. Guards against floods, retries without end and short
-            # patience. May harm a tenant whose traffic comes to one sidecar alone.
+        elif front and over and not a.kept and (self.waiting or self.used > 0.8 * self.slots):
+            # Beyond a tenant's allowance: leaves the last fifth of the slots to others and never waits. Guards
+            # against floods and retries without end. May harm a tenant whose traffic comes to one sidecar alone.
             self.finish(request)
         else:
             self.hold(request, first=False)
--- a/slatehub/core/actions.py
+++ b/slatehub/core/actions.py
@@ -29,11 +29,6 @@
     attempt: Attempt
 
 
-@dataclass(frozen=True, slots=True)
-class ProbeNode:
-    endpoint: int
-
-
 @dataclass(frozen=True, slots=True)
 class WatchList:
     """The list of nodes is to be watched from now on, or no longer."""
@@ -52,4 +47,4 @@
     problem: Exception | None = None
 
 
-Act = Deliver | Start | Withdraw | ProbeNode | WatchList | Say
+Act = Deliver | Start | Withdraw | WatchList | Say
--- a/slatehub/core/desk.py
+++ b/slatehub/core/desk.py
@@ -22,8 +22,6 @@
     Log,
     NewSettings,
     Outcome,
-    Probe,
-    Probed,
     Refuse,
     Send,
     SetTimer,
@@ -35,7 +33,7 @@
 )
 
 from ..decisions.stop import PlannedStop
-from .actions import Act, ProbeNode, Say, WatchList, Withdraw
+from .actions import Act, Say, WatchList, Withdraw
 from .jobs import Answer, Attempt, Job, Verdict
 from .recovery import OFF, Recovery, RecoveryTerms
 from .stages import Admit, Advise, Book, Ledger, Relay, Route, SendOut, TakeIn
@@ -127,9 +125,6 @@
             self.relay(attempt.job, Answer(Verdict.SERVED, printed), now)
         self.waiting.append(self.book(attempt, status, now, report))
 
-    def probed(self, now: int, endpoint: int, status: Status, lag: int, report: tuple[float, ...]) -> None:
-        self.waiting.append(Probed(endpoint, status, lag, report))
-
     def listed(self, now: int, kind: ListKind, version: int = 0, entries: tuple[Entry, ...] = ()) -> None:
         """News of the nodes, or that there is none to be had (FAILED)."""
         if kind is not ListKind.FAILED:
@@ -254,8 +249,6 @@
             job = self.ledger.jobs.get(action.request)
             if job and action.attempt < len(job.attempts) and not job.attempts[action.attempt].over:
                 self._emit(Withdraw(job.attempts[action.attempt]))
-        elif isinstance(action, Probe):
-            self._emit(ProbeNode(action.endpoint))
         elif isinstance(action, Watch):
             self._emit(WatchList(action.on))
         elif isinstance(action, Log):
--- a/slatehub/core/recovery.py
+++ b/slatehub/core/recovery.py
@@ -86,7 +86,7 @@
         if answer.retry_after_us or not self.settings.retry_after:
             return answer.retry_after_us  # the module's own word
         wait = self.stop.back_us(now) if self.stop else 0
-        wait = wait or self.adviser.refused(now, job.key, job.account, job.cls, 0)
+        wait = wait or self.adviser.refused(now, job.key)
         return min(wait, self.settings.max_retry_after_us)
 
     def answered(self, now: int, job: Job, verdict: Verdict) -> None:
--- a/slatehub/decisions/advice/appointments.py
+++ b/slatehub/decisions/advice/appointments.py
@@ -60,7 +60,7 @@
             return "early"
         return "late" if self.diary.late(key) else "newcomer"
 
-    def refused(self, now: int, key: int, tenant: int, cls: int, tries: int) -> int:
+    def refused(self, now: int, key: int) -> int:
         if not self.terms.most_us:
             return 0
         self._advance(now)
--- a/slatehub/decisions/advice/simple.py
+++ b/slatehub/decisions/advice/simple.py
@@ -24,7 +24,7 @@
     def arrived(self, now: int, key: int) -> Coming:
         return "newcomer"
 
-    def refused(self, now: int, key: int, tenant: int, cls: int, tries: int) -> int:
+    def refused(self, now: int, key: int) -> int:
         return self.within(self.most)
 
     def within(self, span: int) -> int:
@@ -40,15 +40,12 @@
     def reserve(self, now: int) -> int:
         return 0
 
-    def promised(self, now: int) -> list[int]:
-        return []
-
 
 class Exponential(FixedJitter):
     """By chance within a span that doubles with each refusal of a key (full jitter: M. Brooker, Exponential
     Backoff And Jitter, AWS Architecture Blog 2015). A key that is forgotten, because it was not refused for
-    two of the longest advices or because too many were, starts anew. Keys that many orders share go by
-    `tries` alone."""
+    two of the longest advices or because too many were, starts anew. Keys that many orders share are not
+    counted."""
 
     def __init__(self, terms: AdviceTerms, rng: Random) -> None:
         super().__init__(terms, rng)
@@ -59,10 +56,10 @@
         self.alike.arrived(now, key, calm=key not in self.counts)
         return "newcomer"
 
-    def refused(self, now: int, key: int, tenant: int, cls: int, tries: int) -> int:
+    def refused(self, now: int, key: int) -> int:
         self.alike.refused(key)
-        before = tries if self.alike.shared(key) else max(tries, self._counted(now, key))
-        return self.within(FIRST_US << min(max(before, 0), DOUBLINGS))
+        before = 0 if self.alike.shared(key) else self._counted(now, key)
+        return self.within(FIRST_US << min(before, DOUBLINGS))
 
     def _counted(self, now: int, key: int) -> int:
         """Refusals of this key before this one."""
--- a/slatehub/decisions/advice/terms.py
+++ b/slatehub/decisions/advice/terms.py
@@ -58,9 +58,8 @@
         """A caller has come. "kept": within its appointment, which is thereby over; "early": its appointment
         stands and is still to come; "late": it had one that has passed."""
 
-    def refused(self, now: int, key: int, tenant: int, cls: int, tries: int) -> int:
-        """The advice for a caller who is refused now: microseconds, at most most_us; 0: say nothing. `tries`:
-        how often this order was refused before, as far as is known."""
+    def refused(self, now: int, key: int) -> int:
+        """The advice for a caller who is refused now: microseconds, at most most_us; 0: say nothing."""
 
     def drained(self, now: int, served: int) -> None:
         """So many jobs have been served since this was last called."""
@@ -70,6 +69,3 @@
 
     def reserve(self, now: int) -> int:
         """Places to keep free for appointments that fall due now."""
-
-    def promised(self, now: int) -> list[int]:
-        """Appointments in each slot ahead, the next slot first."""
--- a/slatehub/decisions/pacing.py
+++ b/slatehub/decisions/pacing.py
@@ -50,7 +50,6 @@
         self._speed = self._speeds[0]
         self._full = self._level = terms.burst * TOKEN
         self._at = 0
-        self._taken = 0  # by the last call, and not given back
 
     def take(self, now: int, inside_busy: int, want: int = 1) -> int:
         """How many of the `want` at the door may come in now, 0 or more; they count as in. `inside_busy`:
@@ -60,15 +59,8 @@
         self._at = max(now, self._at)
         taken = max(0, min(want, self._level // TOKEN))
         self._level -= taken * TOKEN
-        self._taken = taken
         return taken
 
-    def unused(self, count: int) -> None:
-        """So many of those just taken were not there after all; of earlier ones it is too late to say so."""
-        count = max(0, min(count, self._taken))
-        self._taken -= count
-        self._level += count * TOKEN
-
     def due(self) -> int | None:
         """When the next one may come in, should the desk stay as busy as it is; None: now."""
         missing = TOKEN - self._level
--- a/slatehub/drivers/desk.py
+++ b/slatehub/drivers/desk.py
@@ -11,7 +11,7 @@
 
 from paddlestep.interface import Entry, ListKind, Settings, Status
 
-from ..core.actions import Act, Deliver, ProbeNode, Say, Start, WatchList, Withdraw
+from ..core.actions import Act, Deliver, Say, Start, WatchList, Withdraw
 from ..core.desk import SalesDesk
 from ..core.jobs import Attempt, Job
 from ..core.recovery import RecoveryTerms
@@ -27,8 +27,6 @@
 
     def withdraw(self, attempt: Attempt) -> None: ...
 
-    def probe(self, endpoint: int) -> None: ...
-
 
 class Listing(Protocol):
     """Where news of the nodes comes from."""
@@ -66,10 +64,6 @@
         self.desk.ended(clock(), attempt, status, report, printed)
         self._carry_out()
 
-    def probed(self, endpoint: int, status: Status, lag: int, report: tuple[float, ...]) -> None:
-        self.desk.probed(clock(), endpoint, status, lag, report)
-        self._carry_out()
-
     def listed(self, kind: ListKind, version: int = 0, entries: tuple[Entry, ...] = ()) -> None:
         self.desk.listed(clock(), kind, version, entries)
         self._carry_out()
@@ -129,8 +123,6 @@
             self.floor.send(act.attempt)
         elif isinstance(act, Withdraw):
             self.floor.withdraw(act.attempt)
-        elif isinstance(act, ProbeNode):
-            self.floor.probe(act.endpoint)
         elif isinstance(act, WatchList):
             self.listing.watch(act.on)
         elif isinstance(act, Say):
--- a/slatehub/nodes/http1.py
+++ b/slatehub/nodes/http1.py
@@ -1,4 +1,4 @@
-"""The machine room: the nodes' addresses, the connections to them, and every attempt and probe that travels on one over
+"""The machine room: the nodes' addresses, the connections to them, and every attempt that travels on one over
 HTTP/1.1. It owns connections from opening to closing and says of each attempt once how it ended. It must never choose
 a node, try again on its own, or write to a node that drains; and it calls an answer served only when the whole of it
 has come."""
@@ -14,7 +14,7 @@
 from paddlestep.interface import Status
 
 from ..core.bounds import BODY_LIMIT, BULK_LIMIT, OUT_OF_FILES
-from ..core.jobs import Attempt, Order, Printed
+from ..core.jobs import Attempt, Printed
 from ..decisions.pacing import NodePace, PaceTerms
 from ..drivers.clock import Alarm, clock
 from ..drivers.desk import DeskDriver
@@ -22,10 +22,9 @@
 from ..drivers.pipe import Gone, Pipe
 from ..observe.log import say, where
 from ..settings.reader import Address, Plant
-from .outcomes import answered, broken, probed, silent
+from .outcomes import answered, broken, silent
 
 CLOSE_EARLY_US = 1_000_000  # before the node closes an idle connection itself
-PROBE_US = 1_000_000
 NEW_US = 10_000_000  # a node that started so long ago counts as one that has come back
 PACE_LOST_US = 5_000_000
 
@@ -108,9 +107,6 @@
         if attempt.errand:
             attempt.errand.stop(Status.CANCELLED)
 
-    def probe(self, endpoint: int) -> None:
-        gevent.spawn(self._probe, endpoint)
-
     # ------------------------------------------------------------ connections
 
     def take(self, machine: Machine) -> Line | None:
@@ -148,7 +144,7 @@
         line.park(clock() + self.keep_us, lambda: self._drop(machine, line))
         machine.idle.append(line)
 
-    # ------------------------------------------------------------ reports and probes
+    # ------------------------------------------------------------ reports
 
     def report(self, text: str) -> tuple[float, ...]:
         """The load report in the order of the settings' columns; names not known are skipped, and a report in
@@ -167,38 +163,6 @@
         good = len(values) == len(set(columns)) and all(math.isfinite(x) for x in values.values())
         return tuple(values[c] for c in columns) if good else ()
 
-    def _probe(self, endpoint: int) -> None:
-        started = clock()
-        machine = self.machines.get(endpoint)
-        line: Line | None = None
-        report: tuple[float, ...] = ()
-        status = Status.CONNECT_FAILED
-        try:
-            if machine and endpoint not in self.desk.left:
-                with gevent.Timeout(PROBE_US / 1e6):
-                    path = "/status/load" if self.plant.reports else "/health"
-                    line = self.take(machine)
-                    if line is None:
-                        line = self.open(machine)
-                        line.connect()
-                    line.write(to_bytes(Order("GET", path, ()), host_of(machine.peer)))
-                    status = Status.RESET
-                    reply = line.read(BODY_LIMIT)
-                    status = probed(reply.status)
-                    text = reply.headers.get("x-server-load") or reply.body.decode("latin-1")
-                    report = self.report(text.strip())
-                    if reply.reusable:
-                        self.park(machine, line, endpoint)
-                        line = None
-        except gevent.Timeout:
-            status = Status.TIMEOUT
-        except (OSError, Broken):
-            pass
-        finally:
-            if line:
-                line.close()
-            self.desk.probed(endpoint, status, clock() - started, report)
-
 
 class Errand:
     """One attempt under way, in a greenlet of its own. However it ends, and whoever ends it, `stop` tells the desk
--- a/slatehub/nodes/outcomes.py
+++ b/slatehub/nodes/outcomes.py
@@ -27,8 +27,3 @@
     """Its time is up without a word. What was never wholly written cannot have run, and saying so leaves the module
     free to refuse."""
     return Status.TIMEOUT if written else Status.CONNECT_FAILED
-
-
-def probed(status: int) -> Status:
-    """The same of a probe, which runs nothing."""
-    return Status.OK if status == 200 else Status.FULL if status == 503 else Status.ERROR
--- a/slatehub/settings/reader.py
+++ b/slatehub/settings/reader.py
@@ -51,7 +51,6 @@
     zones: dict[str, int]
     max_open: int  # jobs in hand at once
     idle_us: int  # nodes close a connection that was idle for this long
-    reports: bool  # probes may ask for the load report
     every_class: dict[str, int]  # with those that an earlier file named and this one does not
     every_account: dict[str, int]
     operator: operator.Operator = operator.Operator()
@@ -267,6 +266,5 @@
         zones=_numbered(tree, "settings.zones"),
         max_open=_whole(tree, "settings.allowed.max_open", 32768, 1),
         idle_us=_whole(tree, "settings.allowed.conn_idle_us", 30_000_000, 1),
-        reports=_item(tree, "settings.report.source", str, "none") != "none",
         mgmt=address(_item(tree, "mgmt", str), "mgmt") if tree["mgmt"] is not None else None,
     )
--- a/slatelab/model/direct.py
+++ b/slatelab/model/direct.py
@@ -48,10 +48,6 @@
 
     def resettle(self, settings: Settings, most: int, terms: RecoveryTerms) -> None: ...
 
-    def probed(
-        self, now: int, endpoint: int, status: Status, lag: int, report: tuple[float, ...]
-    ) -> None: ...
-
     def order(self, now: int, job: Job) -> bool:
         if not self._ready:
             self._answer(job, Answer(Verdict.REFUSED))
--- a/slatelab/model/floor.py
+++ b/slatelab/model/floor.py
@@ -9,7 +9,7 @@
 
 from paddlestep.interface import Status
 from slatehub.core.jobs import Attempt
-from slatehub.nodes.outcomes import answered, broken, probed, silent
+from slatehub.nodes.outcomes import answered, broken, silent
 
 from .day import Wake
 from .network import Way
@@ -21,7 +21,6 @@
 
 HOLD_US = 2_000  # between the last byte but one and the last of a request on a connection used before
 CLOSE_EARLY_US = 1_000_000  # before the node closes an idle connection itself
-PROBE_US = 1_000_000
 
 
 class Machine:
@@ -241,22 +240,6 @@
         if attempt.errand:
             attempt.errand.stop(Status.CANCELLED)
 
-    def probe(self, endpoint: int) -> None:
-        """A probe there and back, on a connection of its own that costs the node nothing."""
-        status, report = self._look(endpoint)
-        near = self.world.network.near
-        wait = PROBE_US if status is Status.TIMEOUT else near() + near()
-        self.day.at(self.day.now + wait, self.proxy.probed, endpoint, status, self.day.now, report)
-
-    def _look(self, endpoint: int) -> tuple[Status, tuple[float, ...]]:
-        machine = self._machine(endpoint)
-        place = machine.place if machine and endpoint not in self.proxy.desk.left else None
-        if place and (place.cut or place.condition.get("frozen")):
-            return Status.TIMEOUT, ()
-        if place is None or place.machine is None:
-            return Status.CONNECT_FAILED, ()
-        return probed(503 if place.draining else 200), place.report()
-
     # ------------------------------------------------------------ connections
 
     def connect(self, machine: Machine, errand: Errand) -> Line | None:
--- a/slatelab/model/post.py
+++ b/slatelab/model/post.py
@@ -101,5 +101,5 @@
         name=spec.name, listen=here, discovery=here, seed=0, sockets=tree["limits"]["sockets"],
         memory_mb=tree["limits"]["memory_mb"], known={}, settings=parse_settings("\n".join(flatten(raw))),
         classes=classes, accounts=accounts, kinds={}, zones={}, max_open=raw["allowed"]["max_open"],
-        idle_us=raw["allowed"]["conn_idle_us"], reports=True, every_class=classes, every_account=accounts,
+        idle_us=raw["allowed"]["conn_idle_us"], every_class=classes, every_account=accounts,
     )  # fmt: skip
--- a/slatelab/model/proxy.py
+++ b/slatelab/model/proxy.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from paddlestep.interface import Entry, ListKind, Status
-from slatehub.core.actions import Act, Deliver, ProbeNode, Say, Start, WatchList, Withdraw
+from slatehub.core.actions import Act, Deliver, Say, Start, WatchList, Withdraw
 from slatehub.core.desk import SalesDesk
 from slatehub.core.jobs import Attempt, Job, Screen
 from slatehub.core.recovery import RecoveryTerms
@@ -114,11 +114,6 @@
         self.desk.ended(self.day.now + EPOCH, attempt, status, report, token)
         self._carry_out()
 
-    def probed(self, endpoint: int, status: Status, started: int, report: tuple[float, ...]) -> None:
-        if not self.over:
-            self.desk.probed(self.day.now + EPOCH, endpoint, status, self.day.now - started, report)
-            self._carry_out()
-
     def listed(self, kind: ListKind, revision: int, entries: tuple[Entry, ...]) -> None:
         self.desk.listed(self.day.now + EPOCH, kind, revision, entries)
         self._carry_out()
@@ -164,8 +159,6 @@
             self.floor.send(act.attempt)
         elif isinstance(act, Withdraw):
             self.floor.withdraw(act.attempt)
-        elif isinstance(act, ProbeNode):
-            self.floor.probe(act.endpoint)
         elif isinstance(act, WatchList):
             self.listing.watch(act.on)
         elif isinstance(act, Say):
--- a/tests/lab/test_model.py
+++ b/tests/lab/test_model.py
@@ -18,9 +18,7 @@
 
 from benchmarks.model_theory import CELLS, MEAN_S, mean_wait, play
 from paddlestep.balance import Balancer
-from paddlestep.interface import Arrival, Probe, Probed, Status
 from slatehub.core.jobs import Answer, Printed, Verdict
-from slatehub.discovery.numbers import Numbers
 from slatelab import records as r
 from slatelab.judge import judge
 from slatelab.model import run
@@ -317,27 +315,6 @@
     assert set(most) == {13} and max(open_now) == 13 and len(open_now) > 100
 
 
-def test_probes_find_what_is_there(monkeypatch: pytest.MonkeyPatch) -> None:
-    seen: dict[int, list[Probed]] = {}
-    handle = Balancer.handle
-
-    def probing(self: Balancer, now_us: int, events: list[Any]) -> list[Any]:
-        for event in events:
-            if isinstance(event, Probed):
-                seen.setdefault(event.endpoint, []).append(event)
-        probes = [Probe(n) for n in self.servers] if any(isinstance(e, Arrival) for e in events) else []
-        return handle(self, now_us, events) + probes
-
-    monkeypatch.setattr(Balancer, "handle", probing)
-    ill = [{"kind": kind, "names": [f"s-front-{n + 1}"]} for n, kind in enumerate(("freeze", "kill"))]
-    played(parse(tree(*ill, **STEADY)))
-    frozen, dead, well = (seen[Numbers({}).of(f"s-front-{n}")] for n in (1, 2, 3))
-    assert {p.status for p in well} == {Status.OK} and all(len(p.report) == 2 for p in well)
-    assert {p.status for p in frozen} == {Status.OK, Status.TIMEOUT}
-    assert {p.latency_us for p in frozen if p.status is Status.TIMEOUT} == {1_000_000}
-    assert [p.status for p in dead][-1] is Status.CONNECT_FAILED
-
-
 @settings(derandomize=True, database=None, deadline=None)
 @given(st.lists(st.tuples(st.integers(0, 500), st.integers(0, 500)), min_size=1))
 def test_what_is_sent_later_arrives_later(sent: list[tuple[int, int]]) -> None:
@@ -375,7 +352,6 @@
 
     assert (listing.WAIT_US, listing.PATIENCE_US) == (node_list.WAIT_MS * 1000, node_list.PATIENCE_US)
     assert (floor.HOLD_US, floor.CLOSE_EARLY_US) == (line.HOLD_S * 1e6, http1.CLOSE_EARLY_US)
-    assert floor.PROBE_US == http1.PROBE_US
     assert hall.KEEP_US == screens.KEEP_US
     assert proxy.MARGIN_US == screens.MARGIN_US
     for answer in (*map(Answer, (Verdict.FAILED, Verdict.OVERDUE)), Answer(Verdict.REFUSED, None, 1_234_567)):
--- a/tests/lab/test_plant.py
+++ b/tests/lab/test_plant.py
@@ -413,7 +413,7 @@
     read = proxy_reads({"EDGE_CONFIG": str(path)})
     assert (read.name, read.listen, read.seed) == (proxy.name, ("127.128.0.4", 0), 0x8C1F)
     assert (read.memory_mb, read.sockets, read.max_open, read.idle_us) == (99, 500, 77, 7 * S)
-    assert (read.kinds, read.zones, read.reports) == ({"a": 0, "b": 1}, {papers.ROOM: 0}, True)
+    assert (read.kinds, read.zones) == ({"a": 0, "b": 1}, {papers.ROOM: 0})
     assert (read.classes, read.accounts) == ({"look": 0, "buy": 1}, {"big": 0, "small": 1})
     buy = ServiceClass("buy", Effect.UNSAFE, Scope.CELL, 0, 2_500_000, 4 * S, 1.0, 0.0, False)
     assert read.settings == Settings(
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -33,7 +33,7 @@
 def lose(one, now: int, key: int) -> int:
     """A caller comes and is refused; when it is to come back."""
     one.arrived(now, key)
-    return now + one.refused(now, key, 0, 0, 0)
+    return now + one.refused(now, key)
 
 
 def slot(one: Appointments, at: int) -> int:
@@ -70,7 +70,7 @@
 
     def refuse(self, now: int, key: int) -> None:
         one, told, before = self.one, self.ahead(now, key), self.one.promised(now)
-        wait, most, after = one.refused(now, key, 0, 0, 0), self.terms.most_us, self.one.promised(now)
+        wait, most, after = one.refused(now, key), self.terms.most_us, self.one.promised(now)
         assert 0 <= wait <= most and (wait > 0) == (most > 0)
         if after == before:
             part = most * self.terms.spread if one.crowd.sure() else max(0, most - self.terms.least_us)
@@ -158,10 +158,10 @@
 def test_callers_who_all_ask_alike_get_each_a_time_and_keep_it():
     one, now = at_rate(400)
     for key in range(100, 110):  # no calm day any more on which a key could be known for its many orders
-        one.refused(now, key, 0, 0, 0)
+        one.refused(now, key)
     for _ in range(60):
         one.arrived(now, 7)
-    times = sorted(now + one.refused(now, 7, 0, 0, 0) for _ in range(60))
+    times = sorted(now + one.refused(now, 7) for _ in range(60))
     assert len(set(times)) == 60 and sum(one.promised(now)) == 70
     assert [one.arrived(at, 7) for at in times] == ["kept"] * 60
 
@@ -187,7 +187,7 @@
     for tries in range(5_000):
         now += 10
         assert one.arrived(now, 7) == "early"
-        wait = one.refused(now, 7, 0, 0, tries)
+        wait = one.refused(now, 7)
         assert wait == max(at - now, 50 * MS) if tries < 7 else wait >= SECOND
     assert sum(one.promised(now)) == one.diary.held == 1 and one.arrived(at + 400 * MS, 7) == "kept"
 
@@ -220,7 +220,7 @@
     for key in range(20_000):
         now += 2 * MS
         lose(one, now, key)
-        other.refused(now, key, 0, 0, 0)
+        other.refused(now, key)
         assert max(len(book.ahead), len(book.now), len(book.missed), len(other.counts)) <= 40 >= book.held
     assert book.missed and book.held == 40 and len(other.counts) == 40
 
@@ -239,9 +239,9 @@
 
 def test_an_exponential_wait_doubles_with_the_refusals_of_a_key_and_is_forgotten():
     ones = [Exponential(TERMS, Random(seed)) for seed in range(200)]
-    spans = [max(one.refused(i * SECOND, 9, 0, 0, 0) for one in ones) for i in range(5)]
+    spans = [max(one.refused(i * SECOND, 9) for one in ones) for i in range(5)]
     assert spans == pytest.approx([200 * MS, 400 * MS, 800 * MS, 1_600 * MS, 2 * SECOND], rel=0.06)
-    assert all(one.refused(10 * SECOND, 9, 0, 0, 0) <= 200 * MS for one in ones)
+    assert all(one.refused(10 * SECOND, 9) <= 200 * MS for one in ones)
 
 
 @pytest.mark.parametrize("name", AdviceTerms.__slots__)
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -170,8 +170,6 @@
     def withdraw(self, attempt: Attempt) -> None:
         self.desk.ended(attempt, Status.CANCELLED)
 
-    def probe(self, endpoint: int) -> None: ...
-
     def watch(self, on: bool) -> None: ...
 
     def job(self, name: str, left: int = 10_000_000) -> Job:
@@ -333,28 +331,6 @@
             conn.close()
 
 
-@pytest.mark.parametrize(
-    ("head", "status", "report"),
-    [("200 OK", Status.OK, (3.0, 0.5)), ("503 No", Status.FULL, (3.0, 0.5)), ("404 No", Status.ERROR, (3.0, 0.5)),
-     ("what", Status.RESET, ())],
-)  # fmt: skip
-def test_a_probe_reads_the_report_by_the_columns_of_the_settings(
-    head: str, status: Status, report: tuple[float, ...]
-) -> None:
-    with listen() as peer:
-        stand = Stand(Script())
-        probed: list[Any] = []
-        stand.desk.probed = lambda *found: probed.append(found)  # type: ignore[method-assign]
-        room = room_for(stand, peer)
-        room.probe(1)
-        conn, _ = peer.accept()
-        assert conn.recv(100).startswith(b"GET /status/load HTTP/1.1")
-        conn.sendall(f"HTTP/1.1 {head}\r\nContent-Length: 25\r\n\r\nutil=0.5,inflight=7,qps=3".encode())
-        while not probed:
-            gevent.sleep(0)
-        assert (probed[0][1], probed[0][3]) == (status, report)
-
-
 @pytest.mark.parametrize("text", ["", "qps=3", "qps=nan,util=1", "qps=inf,util=1", "qps=3,util=much", "inflight=7"])
 def test_half_a_report_is_none(text: str) -> None:
     with listen() as peer:
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -13,7 +13,7 @@
 quiet = settings(derandomize=True, database=None, deadline=None, max_examples=200)
 steps = st.one_of(st.integers(0, 60_000), st.integers(0, 10**13))
 rates = st.builds(DoorTerms, st.integers(1, 300), st.integers(1, 200), st.just(10), st.integers(1000, 50_000))
-visits = st.lists(st.tuples(steps, st.booleans(), st.integers(-1, 300), st.integers(0, 9)), max_size=40)
+visits = st.lists(st.tuples(steps, st.booleans(), st.integers(-1, 300)), max_size=40)
 
 
 @quiet
@@ -21,12 +21,10 @@
 def test_over_any_time_the_door_lets_in_at_most_rate_and_burst(terms, visits):
     door, now, let = Door(terms), 0, []
     rate = max(terms.per_s, -(-S // terms.slowest_us))
-    for step, busy, want, missing in visits:
+    for step, busy, want in visits:
         now += step
         taken = door.take(now, 11 if busy else 10, want)
-        for part in (missing // 2, missing - missing // 2):
-            door.unused(part)
-        let.append((now, max(0, taken - missing)))
+        let.append((now, taken))
         counts = [(now - at, sum(n for _, n in let[i:])) for i, (at, _) in enumerate(let)]
         assert taken >= 0 and all(count * S <= terms.burst * S + rate * time for time, count in counts)
 
