--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -44,8 +44,11 @@
 
 @pytest.mark.parametrize(
     ("old", "new"),
-    [("::test_", "::test_no_such_"), ("| bad input | T1 T2 |", "| bad input | T9999 |"), ("| peer slow |", "| peer quick |"), ("- N1 ", "- M1 ")],
-)
+    [
+        ("::test_", "::test_no_such_"), ("| bad input | T1 T2 |", "| bad input | T9999 |"),
+        ("| peer slow |", "| peer quick |"), ("- N1 ", "- M1 "),
+    ],
+)  # fmt: skip
 def test_a_cell_that_names_nothing_is_seen(old: str, new: str) -> None:
     text = (ROOT / "docs" / "review-of-parts.md").read_text()
     assert old in text and faults(text.replace(old, new, 1))
