--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -35,24 +35,24 @@
 
 
 VIOLATIONS: dict[str, Callable[[Audit], None]] = {
-    "answered-once": lambda a: (served(a), a.answered(40, "r", 500)),  # type: ignore[func-returns-value]
+    "answered-once": lambda a: (served(a), a.answered(40, "r", 500)),
     "unanswered": lambda a: a.left(9 * S, "r"),
     "late-answer": lambda a: a.answered(6 * S + 51_000, "r", 503),
-    "ran-twice": lambda a: (sent(a, "n", "m"), a.answered(S, "r", 500)),  # type: ignore[func-returns-value]
-    "order-ran-twice": lambda a: (  # type: ignore[func-returns-value]
+    "ran-twice": lambda a: (sent(a, "n", "m"), a.answered(S, "r", 500)),
+    "order-ran-twice": lambda a: (
         served(a), a.asked(S, "r.1", "buy", 7 * S), a.came(S, "n", "r.1"), a.replied(S, "n", "r.1", 500),
         a.answered(S, "r.1", 500),
     ),
-    "sent-again": lambda a: (a.came(10, "n", "r"), sent(a, "m"), a.answered(S, "r", 500)),  # type: ignore[func-returns-value]
-    "refused-after-run": lambda a: (sent(a, "n"), a.answered(S, "r", 503)),  # type: ignore[func-returns-value]
-    "too-many-attempts": lambda a: (sent(a, *"abcde", turned=True), a.answered(S, "r", 503)),  # type: ignore[func-returns-value]
-    "sent-to-drained": lambda a: (  # type: ignore[func-returns-value]
+    "sent-again": lambda a: (a.came(10, "n", "r"), sent(a, "m"), a.answered(S, "r", 500)),
+    "refused-after-run": lambda a: (sent(a, "n"), a.answered(S, "r", 503)),
+    "too-many-attempts": lambda a: (sent(a, *"abcde", turned=True), a.answered(S, "r", 503)),
+    "sent-to-drained": lambda a: (
         a.told(5, "n", "DRAINING"), a.asked(4 * S, "q", "look", 9 * S), a.came(5 * S, "n", "q"),
         a.replied(5 * S, "n", "q", 500), a.answered(5 * S, "q", 500), a.answered(S, "r", 503),
     ),
     "cold-pushed-over": cold,
     "wrong-answer": lambda a: a.answered(S, "r", 200, "made up"),
-    "proxy-crashed": lambda a: (served(a), a.crashed(S)),  # type: ignore[func-returns-value]
+    "proxy-crashed": lambda a: (served(a), a.crashed(S)),
 }  # fmt: skip
 
 
