--- a/tests/test_error_paths.py
+++ b/tests/test_error_paths.py
@@ -26,6 +26,8 @@
 from slatehub.drivers import pipe as pipes
 from slatehub.drivers.pipe import Gone, Pipe
 from slatehub.fronts.http1 import screens
+from slatehub.handover.link import Link
+from slatehub.handover.words import Words
 from slatehub.mgmt import server as operators
 from slatehub.mgmt.calls import Call, Reply
 from slatehub.mgmt.server import OperatorsDesk
@@ -209,6 +211,46 @@
     place.close()
 
 
+def test_no_descriptor_for_a_caller_is_waited_out_and_one_that_rests_makes_room() -> None:
+    stand = Stand()
+    hall, place, turns = hall_for(stand), listen(), list[int]()
+    resting, _ = screen_for(hall, b"GET /ready HTTP/1.1\r\n\r\n")
+    assert resting.recv(1000).startswith(b"HTTP/1.1 ")
+
+    class Short:
+        def accept(self) -> Any:
+            turns.append(1)
+            if len(turns) < 3:
+                raise OSError(errno.EMFILE, "planted")
+            return place.accept()
+
+        def fileno(self) -> int:
+            return int(place.fileno())
+
+    hall.open(Short())
+    with socket.create_connection(place.getsockname()) as conn:
+        conn.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
+        assert conn.recv(1000).startswith(b"HTTP/1.1 200 ") and len(turns) >= 3
+    assert resting.recv(10) == b""
+    hall.door.kill()
+    place.close()
+
+
+def test_an_answer_of_the_other_process_that_does_not_come_is_none_and_a_fault_there_is_told() -> None:
+    ours, theirs = socket.socketpair()
+
+    def fails(tree: Any) -> Any:
+        raise ValueError("planted")
+
+    one = Link(ours, Words(), [], lambda tree: {"status": 200}, lambda link: None)
+    other = Link(theirs, Words(), [], fails, lambda link: None)
+    assert one.ask({"call": "ok"}, 5) == {"status": 500, "re": 1} and other.ask({"call": "ok"}, 5) is not None
+    other.greenlet.kill()  # it hears no more
+    assert one.ask({"call": "ok"}, 0.01) is None and not one.asked
+    one.close()
+    assert one.ask({"call": "ok"}, 5) is None
+
+
 # ---------------------------------------------------------------- discovery, nodes, recorder
 
 
