Both files of settings are read whole in one place; one bound on lists of settings

The platform's JSON and the operator's TOML read their file within a bound by the same five lines, and the bound on lists stood in the reader and on the simulator's wire. settings/file.py holds the first, paddlestep/wire.py the second.

--- a/slatehub/settings/operator.py
+++ b/slatehub/settings/operator.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from .errors import ConfigError
+from .file import whole
 
 LARGEST = 1024 * 1024  # bytes of the file
 Rule = Callable[[Any], Any]  # the value as it is kept; ValueError says what is wrong with it
@@ -152,11 +153,7 @@
     import tomllib
 
     try:
-        with open(path, "rb") as file:
-            data = file.read(LARGEST + 1)
-        if len(data) > LARGEST:
-            raise ValueError(f"larger than {LARGEST} bytes")
-        return tomllib.loads(data.decode())
+        return tomllib.loads(whole(path, LARGEST).decode())
     except (OSError, ValueError, RecursionError) as problem:
         reason = problem.strerror if isinstance(problem, OSError) else problem
         raise ConfigError(f"{path}: cannot be read as TOML: {reason}") from None
--- a/slatehub/settings/reader.py
+++ b/slatehub/settings/reader.py
@@ -11,10 +11,11 @@
 from typing import Any
 
 from paddlestep.interface import Settings
-from paddlestep.wire import WireError, parse_settings
+from paddlestep.wire import MOST_ITEMS, WireError, parse_settings
 
 from . import operator
 from .errors import ConfigError
+from .file import whole
 
 __all__ = ["Address", "ConfigError", "Plant", "address", "flatten", "load", "renew"]
 
@@ -22,7 +23,6 @@
 LARGEST = 8 * 1024 * 1024  # bytes of the file: a list of nodes at its largest, twice over
 FAR = 2**53  # of any figure
 LONGEST_NAME = 256
-MOST_ITEMS = 4096  # of a list in the settings
 # What the settings may be at the least, where less would stop the proxy or have it spin. Missing ones are the module's.
 LEAST = {
     "tick_us": 1, "siblings": 0, "me": 0, "my_zone": 0, "tier": 0, "allowed.connect_timeout_us": 1,
@@ -214,11 +214,7 @@
 
 def _tree(path: str) -> dict[str, Any]:
     try:
-        with open(path, "rb") as file:
-            data = file.read(LARGEST + 1)
-        if len(data) > LARGEST:
-            raise ValueError(f"larger than {LARGEST} bytes")
-        tree = json.loads(data.decode(), parse_constant=_no_number)
+        tree = json.loads(whole(path, LARGEST).decode(), parse_constant=_no_number)
     except (OSError, ValueError) as problem:  # ValueError: also JSON and UTF-8 errors
         reason = problem.strerror if isinstance(problem, OSError) else problem
         raise ConfigError(f"cannot be read as JSON: {reason}") from None
