--- a/tests/test_error_paths.py
+++ b/tests/test_error_paths.py
@@ -157,6 +157,22 @@
 # ---------------------------------------------------------------- the operators' address
 
 
+class Short:
+    """A listener that finds no descriptor twice."""
+
+    def __init__(self) -> None:
+        self.sock, self.turns = listen(), 0
+
+    def accept(self) -> Any:
+        self.turns += 1
+        if self.turns < 3:
+            raise OSError(errno.EMFILE, "planted")
+        return self.sock.accept()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+
 def called(place: Any, raw: bytes) -> bytes:
     with socket.create_connection(place.getsockname()) as conn:
         conn.sendall(raw)
@@ -190,47 +206,23 @@
 
 
 def test_no_descriptor_for_an_operator_is_waited_out() -> None:
-    desk, place = OperatorsDesk(lambda call: Reply(200, "yes")), listen()
-    turns: list[int] = []
-
-    class Short:
-        """A listener that finds no descriptor twice."""
-
-        def accept(self) -> Any:
-            turns.append(1)
-            if len(turns) < 3:
-                raise OSError(errno.EMFILE, "planted")
-            return place.accept()
-
-        def fileno(self) -> int:
-            return int(place.fileno())
-
-    door = gevent.spawn(desk._accept, Short())
-    assert called(place, b"GET /healthcheck HTTP/1.1\r\n\r\n").startswith(b"HTTP/1.1 200 ") and len(turns) >= 3
+    desk, place = OperatorsDesk(lambda call: Reply(200, "yes")), Short()
+    door = gevent.spawn(desk._accept, place)
+    assert called(place, b"GET /healthcheck HTTP/1.1\r\n\r\n").startswith(b"HTTP/1.1 200 ") and place.turns >= 3
     door.kill()
     place.close()
 
 
 def test_no_descriptor_for_a_caller_is_waited_out_and_one_that_rests_makes_room() -> None:
     stand = Stand()
-    hall, place, turns = hall_for(stand), listen(), list[int]()
+    hall, place = hall_for(stand), Short()
     resting, _ = screen_for(hall, b"GET /ready HTTP/1.1\r\n\r\n")
     assert resting.recv(1000).startswith(b"HTTP/1.1 ")
 
-    class Short:
-        def accept(self) -> Any:
-            turns.append(1)
-            if len(turns) < 3:
-                raise OSError(errno.EMFILE, "planted")
-            return place.accept()
-
-        def fileno(self) -> int:
-            return int(place.fileno())
-
-    hall.open(Short())
+    hall.open(place)
     with socket.create_connection(place.getsockname()) as conn:
         conn.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
-        assert conn.recv(1000).startswith(b"HTTP/1.1 200 ") and len(turns) >= 3
+        assert conn.recv(1000).startswith(b"HTTP/1.1 200 ") and place.turns >= 3
     assert resting.recv(10) == b""
     hall.door.kill()
     place.close()
