Proxies of one tier know each other: sealed link, SWIM membership, fleet status

Change: package slatehub/fleet: datagrams sealed with keyed BLAKE2b (sessions and windows against replay, two keys valid), membership by SWIM with the Lifeguard corrections, both pure, and a thin driver with bounds on what is read at all; [fleet] in the operator's file, slatehub fleet status|members|keys, GET /fleet. Off, nothing of it is loaded. slatelab/peers: the net between proxies with its faults, as a model and as a relay between real ones.

--- /dev/null
+++ b/benchmarks/fleet_members.py
@@ -0,0 +1,92 @@
+"""What membership costs and how well it tells, on virtual time: the proxies' own machines and a modelled net, nothing
+else. Prints Markdown tables: until all know of a death, false deaths an hour, datagrams, bytes and CPU of one proxy.
+
+    .lab/bin/python benchmarks/fleet_members.py [--minutes 10] [--sizes 5,50,200]
+"""
+
+from __future__ import annotations
+
+import argparse
+import time
+from statistics import mean
+
+from slatelab.peers.net import Weather
+from slatelab.peers.ring import Ring
+
+SECOND = 1_000_000
+
+
+def met(size: int, seed: int) -> Ring:
+    ring = Ring(seed)
+    ring.start(*(f"p{i}" for i in range(size)))
+    ring.run(10 * SECOND)
+    assert ring.agree(), f"{size} members have not found each other in 10 s"
+    return ring
+
+
+def death(size: int, seed: int) -> float:
+    """Seconds until the last one knows."""
+    ring = met(size, seed)
+    ring.stop("p1")
+    began = ring.now
+    ring.run(40 * SECOND)
+    lost = {who: t for t, who, change in ring.log if change.state == "lost" and change.name == "p1"}
+    assert len(lost) == size - 1, f"{len(lost)} of {size - 1} know"
+    return (max(lost.values()) - began) / SECOND
+
+
+def quiet(size: int, loss: float, minutes: int, frozen: bool, seed: int) -> tuple[float, float, float, float, float]:
+    """False deaths an hour in the whole fleet (one false death is one member that anybody called lost); then of one
+    proxy a second: datagrams sent, bytes sent and received, CPU in ms, and the suspicions an hour of all."""
+    ring = met(size, seed)
+    ring.log.clear()
+    ring.net.weather = Weather(lost=loss)
+    before = [dict(peer.counts) for peer in ring.peers.values()]
+    cpu = time.process_time()
+    for _ in range(minutes * 6):
+        if frozen:  # one in ten, 1 s of each 10: starved, not dead
+            some = ring.rng.sample(sorted(ring.peers), max(1, size // 10))
+            for name in some:
+                ring.freeze(name)
+            ring.run(SECOND)
+            for name in some:
+                ring.wake(name)
+            ring.run(9 * SECOND)
+        else:
+            ring.run(10 * SECOND)
+    cpu = time.process_time() - cpu
+    after = [dict(peer.counts) for peer in ring.peers.values()]
+    span = minutes * 60.0
+
+    def rate(*keys: str) -> float:
+        return mean(sum(b[k] - a[k] for k in keys) for a, b in zip(before, after, strict=True)) / span
+
+    falsely = {(change.name, t // (30 * SECOND)) for t, _, change in ring.log if change.state == "lost"}
+    doubts = {(change.name, t // (5 * SECOND)) for t, _, change in ring.log if change.state == "suspect"}
+    hours = minutes / 60
+    cost = cpu * 1000 / span / size
+    return len(falsely) / hours, rate("out"), rate("bytes_out", "bytes_in"), cost, len(doubts) / hours
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--minutes", type=int, default=10)
+    parser.add_argument("--sizes", default="5,50,200")
+    args = parser.parse_args()
+    sizes = [int(size) for size in args.sizes.split(",")]
+    print("| members | all know of a death, s (5 seeds: least, mean, most) |\n| --- | --- |")
+    for size in sizes:
+        found = [death(size, seed) for seed in range(1, 6)]
+        print(f"| {size} | {min(found):.1f}, {mean(found):.1f}, {max(found):.1f} |", flush=True)
+    head = "members | loss | frozen | false deaths an hour | suspicions an hour | datagrams/s | bytes/s | CPU ms/s"
+    print(f"\n| {head} |\n|{' --- |' * 8}")
+    for size in sizes:
+        for loss, frozen in ((0.0, False), (0.05, False), (0.2, False), (0.0, True)):
+            false, out, size_s, cpu, doubts = quiet(size, loss, args.minutes, frozen, 1)
+            ill = "1 in 10" if frozen else "-"
+            row = f"{size} | {loss:.0%} | {ill} | {false:.1f} | {doubts:.0f} | {out:.1f} | {size_s:.0f} | {cpu:.2f}"
+            print(f"| {row} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/slatehub/cli/main.py
+++ b/slatehub/cli/main.py
@@ -33,6 +33,7 @@
 from ..observe.log import say, settle, where
 from ..settings.reader import Address, ConfigError, Plant, load, renew
 from .flights import Flights
+from .peers import Peers
 
 
 def _plant(own: str | None) -> Plant:
@@ -56,7 +57,8 @@
     """Descriptors of callers and of nodes, and bytes of requests in hand. What is recorded takes room from these.
     `linked`: half of it, as another process of this proxy has the rest."""
     own = OWN_FILES + (MGMT_FILES if plant.mgmt else 0)
-    callers, nodes, held = split(descriptors(plant), plant.memory_mb - plant.operator.recorder.memory_mb, own)
+    own_mb = plant.operator.recorder.memory_mb + plant.operator.fleet.memory_mb
+    callers, nodes, held = split(descriptors(plant), plant.memory_mb - own_mb, own)
     return (callers // 2, nodes // 2, held // 2) if linked else (callers, nodes, held)
 
 
@@ -89,8 +91,9 @@
 
     def __init__(
         self, own: str | None, flights: Flights, listing: NodeList, room: MachineRoom, hall: OrderHall,
-        operators: OperatorsDesk, succession: Succession,
+        operators: OperatorsDesk, succession: Succession, peers: Peers,
     ) -> None:  # fmt: skip
+        self.peers = peers
         self.own, self.flights, self.listing, self.room, self.hall = own, flights, listing, room, hall
         self.operators, self.succession = operators, succession
 
@@ -113,7 +116,8 @@
             mgmt = bound("mgmt", listen, plant.mgmt) if plant.mgmt and plant.mgmt != old.mgmt else None
             plant = renew(old, plant)
             callers, nodes, bytes_held = shares(plant, self.succession.linked)
-            self.flights.settle(plant)  # the last that may still find something wrong
+            self.flights.settle(plant)
+            self.peers.settle(plant)  # the last that may still find something wrong
         except Exception:
             for sock in filter(None, (listener, mgmt)):
                 sock.close()
@@ -140,13 +144,22 @@
     """This process as one of two that are one proxy; what the handover and the operators' calls mean to its parts."""
 
     def __init__(
-        self, by_hand: Maintenance, state: StateFile, listing: NodeList, hall: OrderHall, room: MachineRoom
-    ) -> None:
+        self, by_hand: Maintenance, state: StateFile, listing: NodeList, hall: OrderHall, room: MachineRoom,
+        peers: Peers,
+    ) -> None:  # fmt: skip
+        self.peers = peers
         self.by_hand, self.state, self.listing, self.hall, self.room = by_hand, state, listing, hall, room
         self.succession = Succession(hall.plant.name, hall.plant.listen, self)
-        self.operations = Operations(by_hand, state, listing, hall, self.succession.tell)
+        self.operations = Operations(by_hand, state, listing, hall, self.succession.tell, peers.status)
         self.do = self.operations.do
-        self.rest, self.resume = hall.rest, hall.resume
+
+    def rest(self) -> None:
+        self.hall.rest()
+        self.peers.rest()
+
+    def resume(self) -> None:
+        self.hall.resume()
+        self.peers.serve()
 
     def inherit(self) -> Estate | None:
         """What the process that is there holds, else what an earlier one left."""
@@ -181,7 +194,21 @@
 own_file = click.option("--operator", "own", metavar="FILE", help="The operator's own file [SLATEHUB_OPERATOR].")
 
 
-@click.group()
+class Commands(click.Group):
+    """Loads `fleet` only where it is asked for: serving needs none of it."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), "fleet"])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name == "fleet":
+            from .fleet import fleet
+
+            return fleet
+        return super().get_command(ctx, cmd_name)
+
+
+@click.group(cls=Commands)
 def main() -> None:
     """The proxy of the Catania plant; EDGE_CONFIG names its settings."""
 
@@ -223,15 +250,17 @@
     listing = NodeList(plant, desk, room, by_hand)
     hall = OrderHall(plant, desk, callers, bytes_held)
     flights = Flights(core, desk.idents)
+    peers = Peers(plant, core)
     stop = Bell()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop.set)
     desk.open(room, listing)
-    process = Process(by_hand, state, listing, hall, room)
+    process = Process(by_hand, state, listing, hall, room, peers)
     succession = process.succession
     operators = OperatorsDesk(process.operations)
     try:
         flights.settle(plant)
+        peers.settle(plant)
         estate = process.inherit() if plant.mgmt else None
         listing.start()
         if estate:
@@ -240,6 +269,7 @@
         if plant.mgmt:
             process.take_over(estate)
             operators.open(bound("mgmt", listen, plant.mgmt))
+        peers.serve()
     except ConfigError as problem:
         click.echo(f"slatehub: {problem}", err=True)
         sys.exit(2)
@@ -250,11 +280,12 @@
     gc.freeze()  # what is loaded now stays; collecting it again and again would only cost pauses
     host, port = hall.listener.getsockname()[:2]
     say("start", f"{plant.name} listens on {host}:{port}, tier {plant.settings.tier}")
-    renewer = gevent.spawn(each, renewal, Renewal(own, flights, listing, room, hall, operators, succession))
+    renewer = gevent.spawn(each, renewal, Renewal(own, flights, listing, room, hall, operators, succession, peers))
     gevent.spawn(each, asked, flights.asked)
     stop.wait()
     renewer.kill()
     say("stop", f"finishing {len(desk.ledger.names)} jobs in hand")
     hall.stop()
+    peers.leave()
     flights.finish()
     say("stop", f"done after {desk.ledger.last} jobs, {room.attempts} attempts, {room.opened} connections to nodes")
--- /dev/null
+++ b/slatehub/cli/peers.py
@@ -0,0 +1,76 @@
+"""The fleet's place in the program: switched on and off, swapped with the settings, ended. It owns whether there is a
+driver. It must never load one that is not wanted."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from ..core.desk import SalesDesk
+from ..settings.operator import FleetTable, Wrong
+from ..settings.reader import ConfigError, Plant
+
+if TYPE_CHECKING:
+    from ..fleet.driver import FleetDriver
+
+KEEPS = ("listen", "advertise", "name")  # what a driver cannot change while it lives
+
+
+class Peers:
+    """`serving`: this process has the door, and so speaks for the proxy."""
+
+    def __init__(self, plant: Plant, desk: SalesDesk) -> None:
+        self.plant, self.desk = plant, desk
+        self.driver: FleetDriver | None = None
+        self.serving = False
+
+    def settle(self, plant: Plant) -> None:
+        """As the settings now want it. ConfigError, and nothing changed, where that cannot be."""
+        old, new = self.plant.operator.fleet, plant.operator.fleet
+        same = self.driver is not None and all(getattr(old, key) == getattr(new, key) for key in KEEPS)
+        try:
+            if same and self.driver:
+                self.driver.rekey(new)
+            else:
+                made = self._made(plant, new)
+                self._replace(made)
+        except Wrong as problem:
+            raise ConfigError(f"fleet.{problem.key}: {problem}") from None
+        self.plant = plant
+
+    def _made(self, plant: Plant, terms: FleetTable) -> FleetDriver | None:
+        if not terms.listen:
+            return None
+        if len(plant.name) > 64:
+            raise ConfigError("name: at most 64 characters in a fleet")
+        from ..fleet.driver import FleetDriver
+
+        return FleetDriver(plant.name, plant.settings.tier, terms, plant.seed)
+
+    def _replace(self, made: FleetDriver | None) -> None:
+        if self.driver:
+            self.driver.close(leave=made is None)
+        self.driver = made
+        if self.serving and made:
+            made.open()
+
+    def serve(self) -> None:
+        """This process speaks for the proxy from now on."""
+        self.serving = True
+        if self.driver:
+            self.driver.open()
+
+    def rest(self) -> None:
+        """Another process of this proxy takes the name up: no good-bye."""
+        self.serving = False
+        if self.driver:
+            self.driver.close(leave=False)
+
+    def leave(self) -> None:
+        """The process ends."""
+        if self.serving and self.driver:
+            self.driver.close(leave=True)
+        self.serving = False
+
+    def status(self) -> dict[str, Any] | None:
+        """None: not in a fleet."""
+        return self.driver.status() if self.driver else None
--- /dev/null
+++ b/slatehub/fleet/peer.py
@@ -0,0 +1,103 @@
+"""One proxy's end of the fleet: bytes and time in, bytes and news out. Pure: the daemon, the lab's model and tests
+drive this same machine. It owns the one door through which everything from another proxy comes, and the counts of
+what was dropped there. It must never raise on what comes in, and never answer what it does not believe."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from .membership import Change, Counts, Membership, Terms
+from .seal import Key, Seal
+from .table import STATES
+from .words import ALIVE, BadWords, Letter, Row, Sum, pack, unpack
+
+Packet = tuple[str, int, bytes]  # host, port, datagram
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Who we are to the others: what must be the same for all (fleet, tier) and what only we have."""
+
+    name: str
+    fleet: str
+    tier: int
+    host: str
+    port: int
+    seeds: tuple[tuple[str, int], ...] = ()
+
+
+class Peer:
+    """`now`: microseconds from the Unix epoch, never running backwards. `summed`: is given the sums that come in."""
+
+    def __init__(self, place: Place, keys: Sequence[Key], now: int, rng: Random, terms: Terms | None = None) -> None:
+        session = rng.getrandbits(64) or 1
+        self.place = place
+        self.seal = Seal(keys, place.fleet, place.tier, session)
+        row = Row(place.name, place.host, place.port, session, now // 1000, ALIVE)
+        self.members = Membership(row, place.seeds, terms or Terms(), rng)
+        self.summed: Callable[[int, Letter, Sum], None] | None = None
+        self.counts = {"in": 0, "out": 0, "bytes_in": 0, "bytes_out": 0, "strangers": 0, "words": 0}
+        self.members.start(now)
+
+    def received(self, now: int, data: bytes) -> None:
+        """One datagram, from anybody."""
+        self.counts["in"] += 1
+        self.counts["bytes_in"] += len(data)
+        opened = self.seal.open(data)
+        if opened is None:
+            return
+        try:
+            letter = unpack(opened.body)
+        except BadWords:
+            self.counts["words"] += 1
+            return
+        if not opened.fresh:
+            self.counts["strangers"] += 1
+            self.members.stranger(now, letter, opened.session)
+            return
+        if isinstance(letter.message, Sum):
+            if self.summed:
+                self.summed(now, letter, letter.message)
+            return
+        self.members.heard(now, letter, opened.session)
+
+    def advance(self, now: int, late: int = 0) -> None:
+        self.members.advance(now, late)
+
+    def due(self) -> int:
+        return self.members.due()
+
+    def take(self) -> list[Packet]:
+        """The datagrams that are to go out, in order."""
+        packets = []
+        for out in self.members.take():
+            data = self.seal.seal(pack(self.place.name, out.message), out.to)
+            self.counts["out"] += 1
+            self.counts["bytes_out"] += len(data)
+            packets.append((out.host, out.port, data))
+        return packets
+
+    def news(self) -> list[Change]:
+        return self.members.news()
+
+    def tally(self) -> Counts:
+        return self.members.counts()
+
+    def dropped(self) -> dict[str, int]:
+        return self.seal.counts | {key: self.counts[key] for key in ("strangers", "words")}
+
+    def roll(self, now: int) -> list[dict[str, object]]:
+        """Everybody, ourselves first, as JSON would have it."""
+        rows = [_shown(self.members.me, 0, now, now)]
+        rows += [_shown(m.row, m.since, m.heard, now) for _, m in sorted(self.members.table.rows.items())]
+        return rows
+
+
+def _shown(row: Row, since: int, heard: int, now: int) -> dict[str, object]:
+    return {
+        "name": row.name, "address": f"{row.host}:{row.port}", "state": STATES[row.state],
+        "incarnation": row.incarnation, "for_s": round((now - since) / 1e6, 1) if since else None,
+        "heard_s": round((now - heard) / 1e6, 1) if heard else None, "session": f"{row.session:016x}",
+    }  # fmt: skip
--- a/slatehub/mgmt/calls.py
+++ b/slatehub/mgmt/calls.py
@@ -8,14 +8,17 @@
 
 from ..decisions.maintenance import LONGEST_ID
 
-HEALTH, MAINT, READY, FAIL, OK = "health", "maint", "ready", "fail", "ok"
-FIXED = {"/healthcheck": ("GET", HEALTH), "/healthcheck/fail": ("PUT", FAIL), "/healthcheck/ok": ("PUT", OK)}
+HEALTH, MAINT, READY, FAIL, OK, FLEET = "health", "maint", "ready", "fail", "ok", "fleet"
+FIXED = {
+    "/healthcheck": ("GET", HEALTH), "/healthcheck/fail": ("PUT", FAIL), "/healthcheck/ok": ("PUT", OK),
+    "/fleet": ("GET", FLEET),
+}  # fmt: skip
 OF_NODE = {"maint": MAINT, "ready": READY}
 
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """`name`: one of the five above. `ident`: the node's id where the call is about a node."""
+    """`name`: one of those above. `ident`: the node's id where the call is about a node."""
 
     name: str
     ident: str = ""
--- a/slatehub/mgmt/operations.py
+++ b/slatehub/mgmt/operations.py
@@ -3,11 +3,12 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable
 from typing import Any, Protocol
 
 from ..decisions.maintenance import Maintenance, TooMany
-from .calls import FAIL, HEALTH, MAINT, OK, READY, Call, Reply
+from .calls import FAIL, FLEET, HEALTH, MAINT, OK, READY, Call, Reply
 from .state import StateFile
 
 
@@ -30,16 +31,21 @@
 
 class Operations:
     """Carries out calls; a call is done when its reply is returned. `tell`: whether the other process of this proxy,
-    where there is one, has done it too."""
+    where there is one, has done it too. `fleet`: what is known of the other proxies, None: not in a fleet."""
 
     def __init__(
-        self, by_hand: Maintenance, state: StateFile, nodes: Nodes, door: Door, tell: Callable[[dict[str, Any]], bool]
-    ) -> None:
+        self, by_hand: Maintenance, state: StateFile, nodes: Nodes, door: Door, tell: Callable[[dict[str, Any]], bool],
+        fleet: Callable[[], dict[str, Any] | None] = lambda: None,
+    ) -> None:  # fmt: skip
+        self.fleet = fleet
         self.by_hand, self.state, self.nodes, self.door, self.tell = by_hand, state, nodes, door, tell
 
     def __call__(self, call: Call) -> Reply:
         if call.name == HEALTH:
             return Reply(200, "serving") if self.door.serving else Reply(503, "not serving")
+        if call.name == FLEET:
+            told = self.fleet()
+            return Reply(404, "not in a fleet") if told is None else Reply(200, json.dumps(told))
         reply = self._here(call)
         if reply.status < 300 and not self.tell({"call": call.name, "ident": call.ident}):
             return Reply(503, "done here, but the other process has not answered")
--- a/slatehub/settings/operator.py
+++ b/slatehub/settings/operator.py
@@ -58,6 +58,38 @@
     return field(default=usual, metadata={"rule": rule})
 
 
+def place_text(value: Any) -> tuple[str, int]:
+    """host:port of this or another machine: an address, as there is no name look-up."""
+    from ipaddress import ip_address
+
+    host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    try:
+        found = str(ip_address(host.strip("[]")))
+    except ValueError:
+        found = ""
+    if not found or not colon or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError("must be ADDRESS:PORT, such as 10.0.0.4:7400")
+    return found, int(port)
+
+
+def place() -> Any:
+    """None: not set."""
+
+    def rule(value: Any) -> tuple[str, int] | None:
+        return place_text(value) if value != "" else None
+
+    return field(default=None, metadata={"rule": rule})
+
+
+def places(most: int) -> Any:
+    def rule(value: Any) -> tuple[tuple[str, int], ...]:
+        if not isinstance(value, list) or len(value) > most:
+            raise ValueError(f"must be a list of at most {most} addresses")
+        return tuple(place_text(item) for item in value)
+
+    return field(default=(), metadata={"rule": rule})
+
+
 def flag(usual: bool) -> Any:
     def rule(value: Any) -> bool:
         if not isinstance(value, bool):
@@ -119,6 +151,44 @@
     def check(self) -> None: ...
 
 
+@dataclass(frozen=True, slots=True)
+class FleetTable:
+    """[fleet]. Off while `listen` is not set."""
+
+    listen: tuple[str, int] | None = place()  # UDP, for other proxies of this tier
+    advertise: tuple[str, int] | None = place()  # where others reach it, if not there
+    seeds: tuple[tuple[str, int], ...] = places(16)  # some of the others; who is there is learnt from them
+    name: str = text("", 64)  # of the fleet, the same at all
+    key_file: str = text("", 1000)
+    share: bool = flag(True)  # what each carries is told, and overload is handled together
+
+    @property
+    def memory_mb(self) -> int:
+        """What it takes, as measured: the serializer, and rows for 200 members."""
+        return 4 if self.listen else 0
+
+    def check(self) -> None:
+        if not self.listen:
+            return
+        for key in ("name", "key_file"):
+            if not getattr(self, key):
+                raise Wrong(key, "must be set while listen is")
+        from importlib.util import find_spec
+
+        if not find_spec("msgspec"):
+            raise Wrong("listen", "needs msgspec, which is not installed: pip install 'slatehub[fleet]'")
+        self.keys()
+
+    def keys(self) -> Any:
+        """The keys of the file, the signing one first, as they are now. Wrong."""
+        from .keys import KeyFileError, read
+
+        try:
+            return read(self.key_file)
+        except KeyFileError as problem:
+            raise Wrong("key_file", f"{self.key_file!r}: {problem}") from None
+
+
 def _try(folder: str) -> None:
     """Whether a file can be made there. Only trying tells: a mount may be read-only or full."""
     path = os.path.join(folder, f".slatehub-{os.getpid()}.part")
@@ -136,6 +206,7 @@
     log: LogTerms = LogTerms()
     recorder: RecorderTerms = RecorderTerms()
     storms: StormTable = StormTable()
+    fleet: FleetTable = FleetTable()
 
 
 def read(path: str) -> Operator:
--- /dev/null
+++ b/slatelab/peers/relay.py
@@ -0,0 +1,85 @@
+"""The net between real proxies: one UDP socket for each, at the address that it advertises, and a thread that carries
+what comes there on to where it listens, as PeerNet says. It owns these sockets. It must never change what it carries
+but as the net does, and never send to anything but the addresses that it was given, all of them on loopback."""
+
+from __future__ import annotations
+
+import selectors
+import socket
+import threading
+import time
+from collections import Counter
+from heapq import heappop, heappush
+
+from .net import PeerNet
+
+Address = tuple[str, int]
+
+
+def free_port() -> Address:
+    """A loopback address for UDP that nobody has."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return "127.0.0.1", int(sock.getsockname()[1])
+
+
+class Relay:
+    """`net` may be changed while it runs, under `lock`. `carried`: datagrams by sender and receiver."""
+
+    def __init__(self, net: PeerNet, names: list[str]) -> None:
+        self.net, self.lock = net, threading.Lock()
+        self.carried: Counter[tuple[str, str]] = Counter()
+        self.listens = {name: free_port() for name in names}
+        self.socks = {name: socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for name in names}
+        self.by_source = {place: name for name, place in self.listens.items()}
+        self._late: list[tuple[float, int, str, str, bytes]] = []
+        self._count = 0
+        self._on = True
+        self._selector = selectors.DefaultSelector()
+        for name, sock in self.socks.items():
+            sock.bind(("127.0.0.1", 0))
+            sock.setblocking(False)
+            self._selector.register(sock, selectors.EVENT_READ, name)
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def advertised(self, name: str) -> Address:
+        host, port = self.socks[name].getsockname()
+        return host, port
+
+    def _run(self) -> None:
+        while self._on:
+            wait = max(0.0, self._late[0][0] - time.monotonic()) if self._late else 0.05
+            for key, _ in self._selector.select(min(wait, 0.05)):
+                self._take(key.data)
+            while self._late and self._late[0][0] <= time.monotonic():
+                _, _, sender, receiver, data = heappop(self._late)
+                self._pass(sender, receiver, data)
+
+    def _take(self, receiver: str) -> None:
+        try:
+            data, source = self.socks[receiver].recvfrom(65536)
+        except OSError:
+            return
+        sender = self.by_source.get(source)
+        if sender is None:
+            return
+        with self.lock:
+            copies = self.net.carry(sender, receiver, data)
+        for wait, copy in copies:
+            self._count += 1
+            heappush(self._late, (time.monotonic() + wait / 1e6, self._count, sender, receiver, copy))
+
+    def _pass(self, sender: str, receiver: str, data: bytes) -> None:
+        self.carried[sender, receiver] += 1
+        try:
+            self.socks[sender].sendto(data, self.listens[receiver])
+        except OSError:
+            pass  # nobody listens there now
+
+    def close(self) -> None:
+        self._on = False
+        self._thread.join()
+        for sock in self.socks.values():
+            sock.close()
+        self._selector.close()
--- /dev/null
+++ b/slatelab/peers/ring.py
@@ -0,0 +1,111 @@
+"""A fleet of peers on virtual time: the proxies' own machines with a modelled net between them and nothing else. It
+owns the queue of what is to come. For measurements and tests of membership and sums, at any size. It must never touch a
+machine but by its door: datagrams, time, and what it wants sent."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import heappop, heappush
+from random import Random
+from typing import Any
+
+from slatehub.fleet.membership import Change, Terms
+from slatehub.fleet.peer import Peer, Place
+
+from .net import PeerNet
+
+EPOCH = 1_700_000_000_000_000
+KEY = (b"\0\1\2\3", bytes(range(32)))
+Make = Callable[[Place, int, Random], Peer]
+
+
+class Ring:
+    """`start` and `stop` members by name; `run` until a time. `log`: (time, whose news, change)."""
+
+    def __init__(self, seed: int, terms: Terms | None = None, make: Make | None = None) -> None:
+        self.rng = Random(seed)
+        self.net = PeerNet(Random(seed + 1))
+        self.terms = terms or Terms()
+        self.make = make or (lambda place, now, rng: Peer(place, (KEY,), now, rng, self.terms))
+        self.now = EPOCH
+        self.peers: dict[str, Peer] = {}
+        self.addresses: dict[tuple[str, int], str] = {}
+        self.frozen: dict[str, list[bytes]] = {}
+        self.log: list[tuple[int, str, Change]] = []
+        self._queue: list[tuple[int, int, str, Any]] = []
+        self._order = 0
+        self._woken: dict[str, int] = {}  # when each is to be rung next
+
+    def place(self, name: str, seeds: int = 2) -> Place:
+        first = tuple(sorted(self.addresses))[:seeds]
+        number = int(name[1:])
+        return Place(name, "lab", 0, f"10.0.{number >> 8}.{number & 255}", 7000, first)
+
+    def start(self, *names: str) -> None:
+        for name in names:
+            place = self.place(name)
+            self.addresses[place.host, place.port] = name
+            self.peers[name] = self.make(place, self.now, Random(self.rng.getrandbits(64)))
+            self._after(name)
+
+    def stop(self, *names: str, leave: bool = False) -> None:
+        for name in names:
+            if leave:
+                self.peers[name].members.leave(self.now)
+                self._after(name)
+            del self.peers[name]
+            self._woken.pop(name, None)
+            self.frozen.pop(name, None)
+
+    def freeze(self, name: str) -> None:
+        self.frozen[name] = []
+
+    def wake(self, name: str) -> None:
+        """It finds in its socket what came meanwhile, as much as a socket holds; and then that it is late."""
+        for data in self.frozen.pop(name)[:200]:
+            self.peers[name].received(self.now, data)
+        self._ring(name)
+
+    def run(self, span_us: int) -> None:
+        end = self.now + span_us
+        while self._queue and self._queue[0][0] <= end:
+            due, _, name, data = heappop(self._queue)
+            self.now = max(self.now, due)
+            if name not in self.peers:
+                continue
+            if data is None:
+                if self._woken.get(name) == due and name not in self.frozen:
+                    self._ring(name)
+            elif name in self.frozen:
+                self.frozen[name].append(data)
+            else:
+                self.peers[name].received(self.now, data)
+                self._after(name)
+        self.now = end
+
+    def _ring(self, name: str) -> None:
+        peer = self.peers[name]
+        peer.advance(self.now, max(0, self.now - self._woken[name]))
+        self._after(name)
+
+    def _after(self, name: str) -> None:
+        peer = self.peers[name]
+        for host, port, data in peer.take():
+            receiver = self.addresses.get((host, port))
+            if receiver in self.peers:
+                for wait, copy in self.net.carry(name, receiver, data):
+                    self._put(self.now + wait, receiver, copy)
+        self.log += [(self.now, name, change) for change in peer.news()]
+        due = max(self.now + 1, peer.due())
+        if self._woken.get(name) is None or due < self._woken[name] or self._woken[name] <= self.now:
+            self._woken[name] = due
+            self._put(due, name, None)
+
+    def _put(self, due: int, name: str, data: Any) -> None:
+        self._order += 1
+        heappush(self._queue, (due, self._order, name, data))
+
+    def agree(self) -> bool:
+        """Whether everybody holds everybody for alive, and nobody else."""
+        names = set(self.peers)
+        return all({m.row.name for m in p.members.table.living()} == names - {n} for n, p in self.peers.items())
--- /dev/null
+++ b/tests/fleet_rig.py
@@ -0,0 +1,138 @@
+"""Several real proxies of one tier, on loopback, that know each other through a relay whose faults a test sets. It owns
+the processes. It must never judge but by the shared audit."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from audit import Audit
+from plant import LOOK, Discovery, Node, Program, answer, judged, member, order
+
+from slatehub.settings import keys
+from slatelab.peers.net import PeerNet
+from slatelab.peers.relay import Relay
+
+
+class Fleet:
+    def __init__(self, tmp: Path, count: int, nodes: int = 2) -> None:
+        self.tmp, self.names = tmp, [f"p{i}" for i in range(count)]
+        self.net = PeerNet(Random(1))
+        self.relay = Relay(self.net, self.names)
+        self.nodes = [Node() for _ in range(nodes)]
+        self.audit = Audit((LOOK,), ("order-place",), slack="10 s")
+        for node in self.nodes:
+            node.audit = self.audit
+        self.programs: dict[str, Program] = {}
+        self.all: list[Program] = []
+        self.discoveries: list[Discovery] = []
+        self.key = tmp / "fleet.key"
+        keys.add(str(self.key), True)
+
+    def operator(self, name: str) -> str:
+        seeds = [f"{host}:{port}" for host, port in map(self.relay.advertised, self.names[:2])]
+        listen, told = self.relay.listens[name], self.relay.advertised(name)
+        return (
+            f'[fleet]\nlisten = "{listen[0]}:{listen[1]}"\nadvertise = "{told[0]}:{told[1]}"\nseeds = {seeds}\n'
+            f'name = "test"\nkey_file = "{self.key}"\n[log]\nburst = 1000.0\nper_topic_per_s = 1000.0\n'
+        )
+
+    def start(self, name: str, popen: dict[str, Any] | None = None) -> Program:
+        folder = self.tmp / f"{name}-{len(self.all)}"
+        folder.mkdir()
+        members = [member(f"s-{i}", node.address) for i, node in enumerate(self.nodes)]
+        discovery = Discovery(members)
+        self.discoveries.append(discovery)
+        program = Program(
+            folder, members, discovery.address, own=self.operator(name), name=name, mgmt="127.0.0.1:0", popen=popen
+        )  # fmt: skip
+        self.programs[name] = program
+        self.all.append(program)
+        return program
+
+    def status(self, name: str) -> dict[str, Any]:
+        return self.ask(name, "/fleet")
+
+    def ask(self, name: str, path: str) -> dict[str, Any]:
+        import socket
+
+        with socket.create_connection(self.programs[name].mgmt, 30) as conn:
+            conn.sendall(f"GET {path} HTTP/1.1\r\nHost: ops\r\n\r\n".encode())
+            found: dict[str, Any] = json.loads(answer(conn)[2])
+            return found
+
+    def alive(self, name: str) -> set[str]:
+        """Whom this one holds for alive, itself included."""
+        return {row["name"] for row in self.status(name)["members"] if row["state"] == "alive"}
+
+    def kill(self, name: str) -> None:
+        program = self.programs.pop(name)
+        program.ending = True
+        program.process.kill()
+        program.process.wait()
+
+    def set(self, act: Any) -> None:
+        with self.relay.lock:
+            act(self.net)
+
+
+@contextmanager
+def fleet(tmp: Path, count: int, nodes: int = 2, faults: bool = False) -> Iterator[Fleet]:
+    rig = Fleet(tmp, count, nodes)
+    try:
+        for name in rig.names:
+            rig.start(name)
+        yield rig
+    finally:
+        for program in rig.all:
+            program.ending = True
+        for node in rig.nodes:
+            node.go.set()
+        for program in rig.all:
+            program.process.kill()
+            program.process.wait()
+        rig.relay.close()
+        for peer in (*rig.nodes, *rig.discoveries):
+            peer.sock.close()
+        for program in rig.all[1:]:
+            rig.all[0].asked += program.asked
+            rig.all[0].answered += program.answered
+        judged(rig.audit, rig.all[0])
+        lines = [line for program in rig.all for line in program.log]
+        assert faults or not [line for line in lines if "Traceback" in line or "fault" in line]
+
+
+class Callers:
+    """Callers who ask the proxies that are there, in turn, without end."""
+
+    def __init__(self, rig: Fleet, threads: int = 3) -> None:
+        self.rig, self.on, self.statuses, self.slowest = rig, True, [0, 0], 0.0
+        self.unheard = 0
+        self.threads = [threading.Thread(target=self._ask, args=(i,)) for i in range(threads)]
+        for thread in self.threads:
+            thread.start()
+
+    def _ask(self, i: int) -> None:
+        turn = i
+        while self.on:
+            turn += 1
+            programs = list(self.rig.programs.values())
+            began = time.monotonic()
+            try:
+                status, _, _ = programs[turn % len(programs)].ask(order("ok", LOOK if turn % 2 else "order-place"))
+                self.statuses[status == 200] += 1
+            except OSError:
+                self.unheard += 1  # its proxy was killed: it asks another one
+            self.slowest = max(self.slowest, time.monotonic() - began)
+            time.sleep(0.01)
+
+    def end(self) -> None:
+        self.on = False
+        for thread in self.threads:
+            thread.join()
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -252,7 +252,11 @@
         "log": {name: getattr(usual.log, name) for name in usual.log.__slots__},
         "recorder": {name: getattr(usual.recorder, name) for name in usual.recorder.__slots__},
         "storms": {name: getattr(usual.storms, name) for name in usual.storms.__slots__},
+        "fleet": tree["fleet"],
     }
+    assert operator.read(str(ROOT / "deploy" / "slatehub.example.toml")).fleet == usual.fleet
+    shown = {key: value for key, value in tree["fleet"].items() if value not in ("", [])}
+    assert set(tree["fleet"]) == set(usual.fleet.__slots__) and shown == {"share": usual.fleet.share}
 
 
 def test_nothing_is_loaded_that_is_not_wanted(tmp_path: Path) -> None:
@@ -263,6 +267,7 @@
         until(lambda: " gevent " in p.program.log[-1])
         loaded = set(p.program.log[-1].split())
     assert "logfmter" in loaded and not loaded & {"tomllib", "msgspec", "slatehub.observe.recorder"}
+    assert not [name for name in loaded if name.startswith(("slatehub.fleet", "slatehub.cli.fleet"))]
 
 
 def test_sighup_swaps_both_files_or_neither(tmp_path: Path) -> None:
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,303 @@
+"""The peers' link and membership, without a socket: seals, words, keys, and fleets on virtual time."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+from hypothesis import HealthCheck, given
+from hypothesis import settings as hypo
+from hypothesis import strategies as st
+
+from slatehub.cli.fleet import fleet as command
+from slatehub.fleet.peer import Peer, Place
+from slatehub.fleet.seal import LARGEST, ROOM, Seal
+from slatehub.fleet.table import MOST, YEAR_MS
+from slatehub.fleet.words import ALIVE, DEAD, BadWords, Gossip, Hello, Row, Sum, pack, unpack
+from slatehub.settings import keys
+from slatelab.peers.net import Weather
+from slatelab.peers.ring import EPOCH, KEY, Ring
+
+OTHER = (b"zzzz", b"k" * 32)
+SECOND = 1_000_000
+quick = hypo(max_examples=60, derandomize=True, deadline=None, suppress_health_check=list(HealthCheck))
+
+
+def pair(**other: object) -> tuple[Seal, Seal]:
+    terms = {"keys": (KEY,), "fleet": "f", "tier": 0, **other}
+    return Seal((KEY,), "f", 0, 1), Seal(terms["keys"], terms["fleet"], terms["tier"], 2)  # type: ignore[arg-type]
+
+
+def test_what_is_sealed_is_opened_once_and_only_by_who_should() -> None:
+    a, b = pair()
+    data = a.seal(b"x" * ROOM, 2)
+    assert len(data) == LARGEST
+    opened = b.open(data)
+    assert opened and opened.body == b"x" * ROOM and opened.fresh and opened.session == 1
+    assert b.open(data) is None and b.counts["replay"] == 1
+    # another life of ours: nothing more than a hello
+    assert not b.open(a.seal(b"", 77)).fresh  # type: ignore[union-attr]
+    assert a.open(a.seal(b"", 1)) is None and a.counts["own"] == 1
+    with pytest.raises(ValueError, match="a body of"):
+        a.seal(b"x" * (ROOM + 1), 2)
+
+
+@pytest.mark.parametrize(
+    ("other", "why"),
+    [({"keys": (OTHER,)}, "key"), ({"keys": ((KEY[0], OTHER[1]),)}, "forged"), ({"fleet": "g"}, "forged"),
+     ({"tier": 1}, "forged")],
+)  # fmt: skip
+def test_another_key_fleet_or_tier_is_not_heard(other: dict[str, object], why: str) -> None:
+    a, b = pair(**other)
+    assert b.open(a.seal(b"x", 2)) is None and b.counts[why] == 1
+
+
+def test_two_keys_are_valid_at_once_so_that_one_can_go() -> None:
+    a, b = pair()
+    b.rekey((KEY, OTHER))
+    a.rekey((OTHER, KEY))
+    assert b.open(a.seal(b"x", 2)) and a.open(b.seal(b"y", 1))
+    b.rekey((OTHER,))
+    assert b.open(a.seal(b"x", 2)) and a.open(b.seal(b"y", 1))
+    a.rekey((KEY,))
+    assert b.open(a.seal(b"x", 2)) is None
+
+
+@quick
+@given(st.lists(st.integers(1, 400), max_size=200))
+def test_the_window_takes_each_sequence_once(order: list[int]) -> None:
+    from slatehub.fleet.seal import WINDOW, Window
+
+    window, taken, newest = Window(), set(), 0
+    for sequence in order:
+        fits = sequence not in taken and sequence > newest - WINDOW
+        assert window.take(sequence) == fits
+        taken.add(sequence)
+        newest = max(newest, sequence)
+
+
+@quick
+@given(st.binary(max_size=LARGEST + 50), st.integers(0, 2**32))
+def test_noise_and_broken_datagrams_are_counted_and_nothing_else(noise: bytes, seed: int) -> None:
+    rng = random.Random(seed)
+    places = (Place("a", "f", 0, "127.0.0.1", 1), Place("b", "f", 0, "127.0.0.1", 2))
+    a, b = (Peer(place, (KEY,), EPOCH, random.Random(place.port)) for place in places)
+    b.take()
+    good = bytearray(a.seal.seal(pack("a", Hello(a.members.me)), b.seal.session))
+    good[rng.randrange(len(good))] ^= 1 + rng.randrange(255)
+    for data in (noise, bytes(good)):
+        before = sum(b.dropped().values())
+        b.received(EPOCH, data)
+        assert sum(b.dropped().values()) == before + 1 and not b.take() and not b.members.table.rows
+
+
+def value(depth: int = 0) -> st.SearchStrategy[object]:
+    plain = st.none() | st.integers(-(2**63), 2**64 - 1) | st.floats() | st.text(max_size=4) | st.binary(max_size=4)
+    return plain | st.lists(plain, max_size=5) if depth else plain | st.lists(value(1), max_size=7)
+
+
+@quick
+@given(st.lists(value(), max_size=8), st.integers(0, 7))
+def test_words_of_any_shape_under_a_good_key_are_words_or_none(parts: list[object], tag: int) -> None:
+    body = msgspec.msgpack.encode(["a", [tag, *parts]])
+    try:
+        letter = unpack(body)
+    except BadWords:
+        return
+    assert pack(letter.sender, letter.message)
+
+
+@pytest.mark.parametrize(
+    "figures", [[-1.0], [float("nan")], [float("inf")], [1e12], ["x"], [1.0] * 17], ids=str
+)
+def test_a_sum_of_nonsense_is_no_sum(figures: list[object]) -> None:
+    good = msgspec.to_builtins(Sum(False, 1, 1, 0, [1.0], [], []))
+    good[5] = figures
+    with pytest.raises(BadWords):
+        unpack(msgspec.msgpack.encode(["a", good]))
+
+
+def row(name: str, **more: object) -> Row:
+    return msgspec.structs.replace(Row(name, "10.1.0.1", 9, 5, EPOCH // 1000, ALIVE), **more)
+
+
+def member(ring: Ring, name: str, rows: list[Row]) -> None:
+    """Tells it these rows, as its fellow p1 would."""
+    peer, teller = ring.peers[name], ring.peers["p1"]
+    peer.received(ring.now, teller.seal.seal(pack("p1", Gossip(rows)), peer.seal.session))
+
+
+def met(count: int, seed: int = 1) -> Ring:
+    ring = Ring(seed)
+    ring.start(*(f"p{i}" for i in range(count)))
+    ring.run(6 * SECOND)
+    assert ring.agree()
+    return ring
+
+
+def test_two_thousand_names_that_nobody_bears_never_count() -> None:
+    ring = met(20)
+    for i in range(0, 2000, 10):
+        member(ring, "p0", [row(f"ghost{i + k}") for k in range(10)])
+    assert ring.peers["p0"].tally().alive == 19
+    ring.run(120 * SECOND)
+    assert ring.agree() and not ring.peers["p0"].members.told
+    assert not [c for _, _, c in ring.log if c.state in ("lost", "suspect")]
+
+
+def test_the_table_has_a_bound_and_the_lost_go_first() -> None:
+    ring = met(3)
+    table = ring.peers["p0"].members.table
+    for i in range(MOST + 50):
+        table.put(row(f"x{i}", state=DEAD), ring.now + i)
+    assert len(table.rows) == MOST and "p1" in table.rows and "p2" in table.rows
+
+
+def test_what_is_said_of_a_living_one_is_contradicted_and_an_impossible_incarnation_is_refused() -> None:
+    ring = met(4)
+    held = ring.peers["p0"].members.table.rows["p2"].row
+    member(ring, "p0", [msgspec.structs.replace(held, state=DEAD)])
+    assert ring.peers["p0"].tally().lost == 1
+    ring.run(5 * SECOND)
+    assert ring.agree()
+    far = held.incarnation + 2 * YEAR_MS
+    member(ring, "p0", [msgspec.structs.replace(held, incarnation=far, state=DEAD)])
+    ring.run(2 * SECOND)
+    assert ring.agree() and ring.peers["p0"].members.table.refused
+
+
+def test_a_second_process_of_a_name_is_said_aloud() -> None:
+    ring = met(3)
+    ring.addresses["10.9.9.9", 7000] = "p9"
+    twin = Peer(Place("p1", "lab", 0, "10.9.9.9", 7000, (("10.0.0.0", 7000),)), (KEY,), ring.now, random.Random(5))
+    ring.peers["p9"] = twin
+    ring._after("p9")
+    ring.run(40 * SECOND)
+    assert [c for _, name, c in ring.log if c.state == "clash" and name in ("p1", "p9")]
+    assert {"p0", "p2"} <= {m.row.name for m in twin.members.table.living()}
+
+
+def test_a_restart_is_the_same_member_and_an_old_record_of_it_is_not_believed() -> None:
+    ring = met(3)
+    old = ring.peers["p2"]
+    record = old.seal.seal(pack("p2", Hello(old.members.me)), ring.peers["p0"].seal.session)
+    ring.stop("p2")
+    ring.start("p2")
+    ring.run(3 * SECOND)
+    assert ring.agree() and not [c for _, _, c in ring.log if c.state == "lost"]
+    ring.peers["p0"].received(ring.now, record)
+    assert ring.peers["p0"].members.table.rows["p2"].row.session == ring.peers["p2"].seal.session
+
+
+@pytest.mark.parametrize("count", [5, 30])
+def test_all_know_of_a_death_in_time_and_of_nothing_else(count: int) -> None:
+    ring = met(count)
+    ring.stop("p3")
+    began = ring.now
+    ring.run(20 * SECOND)
+    lost = {who: t for t, who, c in ring.log if c.state == "lost"}
+    assert {c.name for _, _, c in ring.log if c.state == "lost"} == {"p3"}
+    assert set(lost) == set(ring.peers) and max(lost.values()) - began < 8 * SECOND
+    assert ring.peers["p0"].tally().lost == 1 and ring.peers["p0"].tally().perhaps == count - 1
+
+
+def test_a_frozen_one_wakes_and_accuses_nobody() -> None:
+    ring = met(10)
+    ring.freeze("p4")
+    ring.run(8 * SECOND)
+    assert {c.name for _, _, c in ring.log if c.state == "lost"} == {"p4"}
+    ring.log.clear()
+    ring.wake("p4")
+    ring.run(10 * SECOND)
+    assert ring.agree() and not [c for _, _, c in ring.log if c.state == "lost" and c.name != "p4"]
+
+
+def test_one_that_hears_and_is_not_heard_is_lost_to_all_and_comes_back() -> None:
+    ring = met(8)
+    ring.net.sever("mute", ["p5"], [f"p{i}" for i in range(8)], both=False)
+    ring.run(15 * SECOND)
+    assert all(p.tally().lost == 1 for n, p in ring.peers.items() if n != "p5")
+    ring.net.mend("mute")
+    ring.run(10 * SECOND)
+    assert ring.agree()
+
+
+def test_a_cut_between_two_only_is_bridged_by_the_others() -> None:
+    ring = met(8)
+    ring.net.sever("pair", ["p1"], ["p2"])
+    ring.run(60 * SECOND)
+    assert not [c for _, _, c in ring.log if c.state == "lost"]
+
+
+def test_both_sides_of_a_cut_remember_the_other_and_find_it() -> None:
+    ring = met(12)
+    ring.net.sever("half", [f"p{i}" for i in range(6)], [f"p{i}" for i in range(6, 12)])
+    ring.run(20 * SECOND)
+    assert {(p.tally().there, p.tally().perhaps) for p in ring.peers.values()} == {(5, 11)}
+    ring.net.mend("half")
+    ring.run(10 * SECOND)
+    assert ring.agree()
+
+
+@quick
+@given(st.data())
+def test_membership_converges_once_faults_end(data: st.DataObject) -> None:
+    """Any order of cuts, losses, doubles, delays, freezes, deaths and starts."""
+    ring = Ring(data.draw(st.integers(0, 99)))
+    names = [f"p{i}" for i in range(6)]
+    ring.start(*names)
+    frozen: set[str] = set()
+    for _ in range(data.draw(st.integers(1, 6))):
+        kind = data.draw(st.sampled_from(["cut", "one-way", "weather", "freeze", "restart", "leave"]))
+        some = data.draw(st.sets(st.sampled_from(names), min_size=1, max_size=3))
+        rest = set(names) - some
+        if kind in ("cut", "one-way"):
+            ring.net.sever(kind, some, rest, kind == "cut")
+        elif kind == "weather":
+            ring.net.weather = Weather(lost=0.3, twice=0.2, broken=0.1, late=0.3, late_by=3 * SECOND)
+        elif kind == "freeze":
+            for name in some - frozen:
+                ring.freeze(name)
+                frozen.add(name)
+        else:
+            for name in some - frozen:
+                ring.stop(name, leave=kind == "leave")
+                ring.start(name)
+        ring.run(data.draw(st.integers(0, 12)) * SECOND)
+    ring.net.cut.clear()
+    ring.net.weather = Weather()
+    for name in sorted(frozen):
+        ring.wake(name)
+    ring.run(30 * SECOND)
+    assert ring.agree()
+
+
+def test_a_key_file_is_made_turned_over_and_checked(tmp_path: Path) -> None:
+    run = CliRunner()
+    path = str(tmp_path / "fleet.key")
+
+    def ask(*words: str) -> str:
+        done = run.invoke(command, ["keys", *words])
+        return f"{done.exit_code} {done.output}"
+
+    assert ask("make", path).startswith("0")
+    first = keys.read(path)
+    assert ask("make", path).startswith("0") and keys.read(path)[0] == first[0]
+    assert "holds 2 keys already" in ask("make", path)
+    assert ask("swap", path).startswith("0") and keys.read(path)[1] == first[0]
+    said = ask("drop", path)
+    assert said.startswith("0") and len(keys.read(path)) == 1 and keys.read(path)[0].secret.hex() not in said
+    Path(path).chmod(0o644)
+    assert "chmod 600" in ask("check", path)
+
+
+LINE = b"00112233 " + b"0" * 64 + b"\n"
+
+
+@pytest.mark.parametrize("raw", [b"", b"abc", LINE[:-2], b"\xff" * 9, b"0" * 5000, b"x" + LINE[1:], LINE * 2])
+def test_a_key_file_that_is_none_is_told_as_such(raw: bytes) -> None:
+    with pytest.raises(keys.KeyFileError):
+        keys.parse(raw)
