--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -114,6 +114,7 @@
     def __init__(self, rig: Fleet, threads: int = 3) -> None:
         self.rig, self.on, self.statuses, self.slowest = rig, True, [0, 0], 0.0
         self.unheard = 0
+        self.lock = threading.Lock()  # `order` counts its ids: two threads at once would give them out again
         self.threads = [threading.Thread(target=self._ask, args=(i,)) for i in range(threads)]
         for thread in self.threads:
             thread.start()
@@ -124,8 +125,10 @@
             turn += 1
             programs = list(self.rig.programs.values())
             began = time.monotonic()
+            with self.lock:
+                data = order("ok", LOOK if turn % 2 else "order-place")
             try:
-                status, _, _ = programs[turn % len(programs)].ask(order("ok", LOOK if turn % 2 else "order-place"))
+                status, _, _ = programs[turn % len(programs)].ask(data)
                 self.statuses[status == 200] += 1
             except OSError:
                 self.unheard += 1  # its proxy was killed: it asks another one
