Many proxies before few nodes no longer refuse what the nodes could serve

Seen: model, eight nodes all well and 65 % used, 64 proxies: goodput 87.3 %, median 455 ms; at 200 66.1 %; a random node serves all in 47 ms. Checked with a probe on each held call and on the calls of each node a second: (1) the slots of all proxies came to 8.4 where the nodes need 15 in flight (share: spare / owners); (2) 97 in 100 held calls waited at a proxy with nothing in flight, as its average in flight stood over a seventh of a slot after one long answer (dispatch: used <= slots); (3) homes of consecutive proxies were one node, and a front in turn sent it 9 calls in one second and 42 in another (deal). Ruled out: routing by slowness, connections, a longer average.

Change: two may wait where many own a server; the average is bound by the slots and twice its scatter; homes lie apart by number. Room: groups of keyed classes are looked for when asked, the module's own limit on log lines goes (the log has one).

--- a/paddlestep/balance.py
+++ b/paddlestep/balance.py
@@ -11,7 +11,7 @@
 from collections import deque
 from dataclasses import replace
 from heapq import heapify, heappop, heappush
-from math import exp
+from math import exp, gcd, sqrt
 from random import Random
 
 from .interface import (
@@ -115,12 +115,10 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.set = settings
-        self.keyed = any(c.effect is Effect.KEYED for c in settings.classes)
         self.rng = Random(seed)
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []  # in order of ids
         self.near: list[Server] = []  # the few that calls go to while these serve
-        self.groups: dict[tuple[Scope, int], list[Server]] = {}
         self.recent: deque[Server] = deque(maxlen=2 * NEAR)  # who answered last
         # Sums over the ready servers, kept up to date per change.
         self.slots = self.free = self.flow = self.badness = 0.0
@@ -155,14 +153,10 @@
         self.tenants = [(t.allowance_per_s / settings.siblings + 3, 0) for t in settings.tenants]
         self.asked = False
         self.failures = 0
-        self.lines: float = 5.0
-        self.lines_at = 0
 
     def handle(self, now_us: int, events: list[Event]) -> list[Action]:
         """Takes all events of one moment and returns the actions for it, in order."""
-        # The average takes in some twenty service times, so that one long call does not fill it.
-        span = min(FADE_US, max(SECOND, 20 * self.mean))
-        self.used += (self.taken - self.used) * (1 - exp((self.now - max(now_us, self.now)) / span))
+        self.used += (self.taken - self.used) * (1 - exp((self.now - max(now_us, self.now)) / self.span()))
         self.now = max(now_us, self.now)
         self.actions = []
         for e in events:
@@ -207,7 +201,6 @@
         for t in settings.tenants[len(self.tenants):]:
             self.tenants.append((t.allowance_per_s / settings.siblings + 3, self.now))
         self.set = settings
-        self.keyed = any(c.effect is Effect.KEYED for c in settings.classes)
         self.deal(self.ready)
 
     def later(self, due: int, ident: int) -> None:
@@ -287,8 +280,8 @@
         idles in the same way, so that wait counts as delay: each tier below is taken to need, with its own
         queue, as long as the server itself. More calls than that do not keep it busier; they overdrive it once
         another server has gone, which it gets over only when few are left. Siblings cannot take turns, so with
-        several of them one more may wait; less where many own a server, as their shares breathe instead. The
-        server is shared by all, and so are its slots."""
+        several of them one more may wait, and two where many own a server: it idles otherwise while their calls are
+        held. The server is shared by all, and so are its slots."""
         below = self.set.tiers - 1 - self.set.tier
         if not self.count:
             return (1 + 2 * below) / self.set.siblings
@@ -297,7 +290,7 @@
         # The wait below does not grow with a slow server, so the slots that it earns shrink. Guards against
         # anything that slows one server or all of them, and lets one that is overdriven recover.
         wait = min(1.0, 2 / max(0.1, self.stretch * slowness)) * 2 * below
-        spare = (self.set.siblings > 1) / (1 + 20 * self.turned) / self.owners
+        spare = (self.set.siblings > 1) / (1 + 20 * self.turned) * (2 - 1 / self.owners)
         return (2 * TP_US * (1 + below) / trip + 1 + wait + spare) / self.set.siblings
 
     def limit(self, server: Server) -> int:
@@ -340,7 +333,10 @@
             changed = changed + self.ready  # the sound ones have gone: guards against a list with nobody to send to
             for s in changed:
                 s.ejected = 0
-        n, total, me = len(self.ready), self.set.siblings, self.set.me % self.set.siblings
+        n, total = len(self.ready), self.set.siblings
+        # Who come next to each other in number lie far apart on the list: fronts deal callers out in turn, and siblings
+        # with one home would send to it one after the other, in bursts that go round the servers.
+        me = self.set.me * next(x for x in range(total * 5 // 8 + 1, 3 * total) if gcd(x, total) == 1) % total
         first = me * n // total
         homes = max(first + 1, (me + 1) * n // total) - first
         owners, self.owners = self.owners, -(-total // max(1, n))
@@ -352,12 +348,8 @@
             for s in self.servers.values():  # also one that drains: its last outcomes would take its part off again
                 s.slots = s.free = s.flow = s.counted = 0.0
                 s.out = False
-        self.groups = {}
         for i, s in enumerate(self.ready):
             s.home = first <= i < first + homes
-            if self.keyed:
-                self.groups.setdefault((Scope.ZONE, s.entry.zone), []).append(s)
-                self.groups.setdefault((Scope.CELL, s.entry.cell), []).append(s)
         for s in changed:
             out = s.entry.state is State.READY and s.ejected > self.now
             self.out_count += out - s.out
@@ -436,9 +428,23 @@
         of siblings cancel out. Departure: the share binds the average over some seconds, and the less of it
         was used, the more may go at once; hardly more where the share is several calls. Nothing for one
         sidecar alone. May harm when all siblings burst together, for as long as the average takes to rise."""
-        room = BREATH * (self.slots - self.used)
-        calm = min(1.0, max(0.0, 2 - self.stretch))  # late answers end it
-        return (1 - 1 / self.set.siblings) * min(room, calm * 3 / (1 + self.slots))
+        room = BREATH * (self.bound() - self.used)
+        return (1 - 1 / self.set.siblings) * min(room, self.calm() * 3 / (1 + self.slots))
+
+    def calm(self) -> float:
+        """1 while answers take as long as they do uncrowded, 0 from twice as long on."""
+        return min(1.0, max(0.0, 2 - self.stretch))
+
+    def bound(self) -> float:
+        """The most that the average in flight may be: the slots, and twice by how much a share as small as this
+        scatters about its mean. A sidecar among hundreds has a call or two in the span, and one long answer would bar
+        it for seconds; over all siblings the scatter cancels out. Hardly anything where the slots are several."""
+        slots = max(0.0, self.slots)  # a sum of floats: a trace below 0 when no server has any
+        return slots + 2 * (1 - 1 / self.set.siblings) * self.calm() * sqrt(slots * self.mean / self.span())
+
+    def span(self) -> float:
+        """Of the average in flight: some twenty service times, so that one long call does not fill it."""
+        return min(FADE_US, max(SECOND, 20 * self.mean))
 
     def over_share(self, tenant: int) -> bool:
         if tenant >= len(self.tenants) or not self.set.tenants[tenant].allowance_per_s:
@@ -467,7 +473,7 @@
         # Departure: calls are held as well while all in flight reach the sum of the shares and the breath.
         passed = []
         while self.queue and (
-            self.free + self.breath() >= 0.5 or (not self.inflight and self.used <= self.slots)
+            self.free + self.breath() >= 0.5 or (not self.inflight and self.used <= self.bound())
         ):
             request = self.queue.popleft()
             if not request.held:
@@ -584,7 +590,8 @@
         scope, entry = request.kind.scope, ran.server.entry
         if scope is Scope.ALL:
             return self.ready
-        return self.groups.get((scope, entry.zone if scope is Scope.ZONE else entry.cell), [])
+        zone = scope is Scope.ZONE
+        return [s for s in self.ready if (s.entry.zone == entry.zone if zone else s.entry.cell == entry.cell)]
 
     def may_refuse(self, request: Request) -> bool:
         effect = request.kind.effect
@@ -805,9 +812,5 @@
         del self.servers[s.entry.endpoint]
 
     def log(self, text: str) -> None:
-        """A line for on-call staff, at most about one a second."""
-        self.lines = min(5.0, self.lines + (self.now - self.lines_at) / SECOND)
-        self.lines_at = self.now
-        if self.lines >= 1:
-            self.lines -= 1
-            self.actions.append(Log(text))
+        """A line for on-call staff. Whoever writes it says how many pass."""
+        self.actions.append(Log(text))
--- a/tests/plant.py
+++ b/tests/plant.py
@@ -383,4 +383,4 @@
             peer.sock.close()
         if kind is Node:
             judged(audit, program)
-        assert faults or not [line for line in program.log if "Traceback" in line or "fault" in line]
+        assert faults or not (bad := [line for line in program.log if "Traceback" in line or "fault" in line]), bad
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -733,3 +733,41 @@
         return sum(not finals(d.give(Arrival(100 + i, 0, left_us=1 * S, **more))) for i in range(25))
 
     assert taken(kept=True) == taken() and taken(reserve=4) == taken() - 4
+
+
+def test_siblings_next_to_each_other_in_number_have_no_home_in_common():
+    """A front deals callers out in turn: neighbours with one home would all send to it, one after the other."""
+    homes = []
+    for me in range(64):
+        d = Driver(settings(siblings=64, me=me), servers=8)
+        homes.append({s.entry.endpoint for s in d.balancer.ready if s.home})
+    assert not any(a & b for a, b in zip(homes, homes[1:], strict=False))
+    assert {sum(e in home for home in homes) for e in range(1, 9)} == {8}
+
+
+def test_one_long_answer_does_not_bar_a_sidecar_among_hundreds():
+    d = Driver(settings(siblings=200, me=5), servers=8)
+    for request in range(1, 21):
+        d.serve(request, 1, 20 * MS)
+        d.wait(980 * MS)
+    d.serve(50, 1, 180 * MS)
+    assert d.balancer.used > d.balancer.slots  # its average is over its part, and yet the others' are under theirs
+    assert sends(d.ask(51))
+
+
+def test_two_may_wait_at_a_server_that_many_own():
+    """Alone with its server a sidecar lets one wait; of sixty-four before eight, each lets a sixty-fourth of two."""
+    held = {}
+    for siblings in (8, 64):
+        d = Driver(settings(siblings=siblings), servers=8)
+        d.serve(1, 9)
+        held[siblings] = siblings * d.balancer.share(d.balancer.ready[0])
+    assert held[8] == pytest.approx(2, abs=0.1) and held[64] == pytest.approx(2.9, abs=0.1)
+
+
+def test_a_trace_below_zero_in_the_sums_is_no_fault():
+    d = Driver(settings(siblings=3), servers=2)
+    d.serve(1, 5)
+    d.balancer.slots = -1e-17
+    d.ask(9)
+    assert d.balancer.bound() >= 0
