--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,6 +9,7 @@
 import sys
 from pathlib import Path
 
+import pytest
 from fleet_rig import Callers, Fleet, fleet
 from plant import ROOT, Node, until
 
@@ -63,7 +64,7 @@
         assert [line for line in rig.programs["p2"].log if "; contradicted" in line]
 
 
-def test_sigterm_is_a_good_bye_and_an_upgrade_none(tmp_path: Path) -> None:
+def test_sigterm_is_a_good_bye(tmp_path: Path) -> None:
     with fleet(tmp_path, 3) as rig:
         until(lambda: all(len(rig.alive(name)) == 3 for name in rig.names))
         rig.programs["p2"].process.send_signal(signal.SIGTERM)
@@ -72,6 +73,27 @@
         assert not [x for name in ("p0", "p1") for x in rig.programs[name].log if "is suspect" in x]
 
 
+def test_the_two_processes_of_an_upgrade_are_one_member(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    with fleet(tmp_path, 3) as rig:
+        everybody = set(rig.names)
+        until(lambda: all(rig.alive(name) == everybody for name in rig.names))
+        callers = Callers(rig)
+        callers.warm()
+        old = rig.programs["p1"]
+        rig.start("p1")  # beside the one that runs
+        for name in ("p0", "p2"):
+            until(lambda name=name: [x for x in rig.programs[name].log if "p1 is alive: a new process" in x])
+        old.ending = True
+        old.process.send_signal(signal.SIGTERM)
+        assert old.process.wait(20) == 0
+        for name in rig.names:
+            until(lambda name=name: rig.alive(name) == everybody)
+        callers.end()
+        told = [x for name in ("p0", "p2") for x in rig.programs[name].log]
+        assert not [x for x in told if "p1 is lost" in x or "p1 is left" in x]
+
+
 class Moody(Node):
     """Fails all that it gets while it is told to."""
 
