--- a/benchmarks/fleet_members.py
+++ b/benchmarks/fleet_members.py
@@ -8,10 +8,14 @@
 
 import argparse
 import time
+from random import Random
 from statistics import mean
+from typing import Any
 
+from slatehub.decisions.fleet.load import PLAIN, Load, NodeLoad
+from slatehub.fleet.peer import Peer, Place
 from slatelab.peers.net import Weather
-from slatelab.peers.ring import Ring
+from slatelab.peers.ring import KEY, Ring
 
 SECOND = 1_000_000
 
@@ -68,6 +72,42 @@
     return len(falsely) / hours, rate("out"), rate("bytes_out", "bytes_in"), cost, len(doubts) / hours
 
 
+class Busy:
+    """As much of a decision module as is read of it."""
+
+    used, slots, waiting, out_count = 1.0, 2.0, 0, 0
+
+    def __init__(self) -> None:
+        self.servers: dict[int, Any] = {}
+
+
+def shared(size: int, nodes: int) -> tuple[float, float, float, float, float]:
+    """With the load of all summed over so many nodes. Of one proxy a second: bytes sent and received, mean and most;
+    datagrams sent; CPU in ms. Then how old a sum is at the most, in seconds."""
+    load = Load(1, (3.0,) * len(PLAIN), ((1.0, 0.1),) * 3, {2**40 + n: NodeLoad(1, 1, 0.5, 3) for n in range(nodes)})
+
+    def make(place: Place, now: int, rng: Random) -> Peer:
+        peer, module = Peer(place, (KEY,), now, rng), Busy()
+        share = peer.tell_load(now, lambda: module, lambda _now, _news, _until: None)
+        share.meter.read = lambda now, module: load  # type: ignore[method-assign]
+        return peer
+
+    ring = Ring(1, make=make)
+    ring.start(*(f"p{i}" for i in range(size)))
+    ring.run(10 * SECOND)
+    before = [dict(peer.counts) for peer in ring.peers.values()]
+    cpu, oldest = time.process_time(), 0
+    for _ in range(80):
+        ring.run(SECOND // 4)
+        oldest = max(oldest, *(p.share.sums.age(ring.now) for p in ring.peers.values() if p.share))
+    cpu = time.process_time() - cpu
+    after = [dict(peer.counts) for peer in ring.peers.values()]
+    keys = ("bytes_out", "bytes_in")
+    sizes = [sum(b[k] - a[k] for k in keys) / 20 for a, b in zip(before, after, strict=True)]
+    out = mean(b["out"] - a["out"] for a, b in zip(before, after, strict=True)) / 20
+    return mean(sizes), max(sizes), out, cpu * 1000 / 20 / size, oldest / SECOND
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--minutes", type=int, default=10)
@@ -88,5 +128,11 @@
             print(f"| {row} |", flush=True)
 
 
+    print("\n| members | bytes/s, mean | most of one | datagrams/s | CPU ms/s | oldest sum, s |\n|" + " --- |" * 6)
+    for size in sizes:
+        usual, most, out, cpu, age = shared(size, 24)
+        print(f"| {size} | {usual:.0f} | {most:.0f} | {out:.1f} | {cpu:.2f} | {age:.2f} |", flush=True)
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/tests/lab/test_peers_of_scenarios.py
@@ -0,0 +1,71 @@
+"""Proxies that know each other in scenarios: on virtual time and, once, with real processes."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from slatelab import records as r
+from slatelab.engine import Recording
+from slatelab.judge import judge
+from slatelab.live import run as live
+from slatelab.model import run
+from slatelab.model.run import Play
+from slatelab.scenario import load, parse
+
+FOLDER = Path(__file__).parents[2] / "scenarios"
+SHORT = {"scenario.duration": "12 s", "fault.0.at": "4 s", "fault.0.for": "6 s", "tier.0.proxies": 24}
+
+
+def played(name: str, **more: Any) -> Recording:
+    scenario = load(FOLDER / f"{name}.toml", {**SHORT, **more})
+    recording = run(scenario, 1, FOLDER, None)
+    assert judge(scenario, recording.records).violations == []
+    return recording
+
+
+def failures(recording: Recording) -> int:
+    """Attempts that a node failed."""
+    return sum(isinstance(f, r.Replied) and f.status == 500 for f in recording.records)
+
+
+def test_a_fleet_spends_fewer_calls_on_a_bad_node_than_proxies_that_share_nothing() -> None:
+    alone, peers = played("one-ejected"), played("one-ejected", **{"fleet.peers": True})
+    assert failures(peers) < 0.75 * failures(alone)
+    again = played("one-ejected", **{"fleet.peers": True})
+    assert again.records == peers.records  # the same day each time
+
+
+@pytest.mark.parametrize("kind", ["peer-cut", "peer-mute", "peer-lossy"])
+def test_faults_between_proxies_break_no_rule_and_pass(kind: str) -> None:
+    fault = {"kind": kind, "at": "2 s", "for": "9 s", "tier": "front", "part": 0.9 if kind == "peer-lossy" else 0.0}
+    chosen = {} if kind == "peer-lossy" else {"names": ["p-front-1", "p-front-2", "p-front-3"]}
+    day = Play(parse({**_tree(8), "fault": [{**fault, **chosen}]}), 1, FOLDER, None)
+    counts = []
+    day.world.day.at(10_900_000, lambda: counts.append([e.peer.tally().there for e in day.world.between.ends.values()]))
+    day.play()
+    assert judge(day.world.scenario, day.world.records).violations == []
+    if kind == "peer-cut":
+        assert max(counts[0]) <= 5 and sum(counts[0]) <= 30  # of 26 once all suspicions have ended, 56 before the cut
+    assert {end.peer.tally().there for end in day.world.between.ends.values()} == {7}
+
+
+def _tree(proxies: int) -> dict[str, Any]:
+    return {
+        "scenario": {"name": "between", "duration": "20 s"},
+        "class": [{"name": "job-status", "effect": "safe", "work": {"mean": "15 ms"}}],
+        "tier": [{"name": "front", "proxies": proxies, "kind": [{"name": "std", "nodes": 8}]}],
+        "arrivals": [{"kind": "poisson", "rate": "100/s"}], "fleet": {"peers": True},
+    }  # fmt: skip
+
+
+def test_real_proxies_of_a_scenario_find_each_other_through_a_cut(tmp_path: Path) -> None:
+    tree = _tree(3) | {"scenario": {"name": "between", "duration": "6 s"}}
+    tree["fault"] = [{"kind": "peer-cut", "at": "1 s", "for": "1 s", "tier": "front", "nodes": 1}]
+    scenario = parse(tree)
+    recording = live(scenario, 1, tmp_path, None, FOLDER.parent, tmp_path)
+    assert judge(scenario, recording.records).violations == []
+    said = "".join(path.read_text() for path in tmp_path.glob("*.log"))
+    assert said.count("is alive: has joined") >= 6 and "Traceback" not in said
