SIGHUP in a fleet: keys turned over, a bad key file turned down, membership ended and begun

Change: three real proxies, the key file turned over in its three steps with SIGHUP at each, nobody lost; a key file that is not there is turned down with file and key named and the old keys stay in force; a file without [fleet] ends the membership (the others see it leave, GET /fleet is 404), the old file begins it anew. Measured: the test passes; no change to the program was needed.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,6 +13,8 @@
 from fleet_rig import Callers, Fleet, fleet
 from plant import ROOT, Node, until
 
+from slatehub.settings import keys
+
 
 def status(rig: object, name: str, *more: str) -> subprocess.CompletedProcess[str]:
     """`slatehub fleet`, as an operator would ask."""
@@ -153,3 +155,30 @@
         assert dropped["unknown"] + dropped["short"] + dropped["version"] + dropped["key"] > 100
         assert not callers.statuses[0]
         until(lambda: rig.alive("p1") == {"p0", "p1"})  # while it lasted, p0 may have been deaf
+
+
+def test_sighup_takes_new_keys_ends_a_membership_and_turns_a_bad_key_file_down(tmp_path: Path) -> None:
+    def renew(rig: Fleet, name: str, own: str, line: str) -> None:
+        program = rig.programs[name]
+        (next(tmp_path.glob(f"{name}-*")) / "operator.toml").write_text(own)
+        before = len(program.log)
+        program.process.send_signal(signal.SIGHUP)
+        until(lambda: [x for x in program.log[before:] if line in x])
+
+    with fleet(tmp_path, 3) as rig:
+        until(lambda: all(len(rig.alive(name)) == 3 for name in rig.names))
+        keys.add(str(rig.key), False)
+        for turn in (lambda path: None, keys.swap, keys.drop):  # the new key is valid, then signs, then is the only one
+            turn(str(rig.key))
+            for name in rig.names:
+                renew(rig, name, rig.operator(name), "read again and in force")
+                assert len(rig.alive(name)) == 3
+        good = rig.operator("p1")
+        renew(rig, "p1", good.replace("fleet.key", "none.key"), "fleet.key_file")
+        assert len(rig.alive("p1")) == 3  # the old ones stay in force
+        renew(rig, "p1", "", "read again and in force")
+        until(lambda: rig.alive("p0") == {"p0", "p2"})
+        assert rig.programs["p1"].call("GET", "/fleet") == 404
+        renew(rig, "p1", good, "read again and in force")
+        for name in rig.names:
+            until(lambda name=name: len(rig.alive(name)) == 3)
