One bucket bounds what the fleet's link reads and what it answers

Need: the driver had an allowance of its own beside the membership's bucket, of the same logic. Change: the driver uses the bucket, which has a burst apart from its rate now. Measured: tests of the link, the membership and a flood pass as before; no figure moved.

--- a/slatehub/fleet/driver.py
+++ b/slatehub/fleet/driver.py
@@ -16,7 +16,7 @@
 from ..drivers.clock import Alarm, clock
 from ..observe.log import say, where
 from ..settings.operator import FleetTable
-from .membership import Change
+from .membership import Bucket, Change
 from .peer import Peer, Place
 from .seal import LARGEST
 from .share import Share
@@ -30,22 +30,6 @@
 LEVELS = {"lost": "warning", "suspect": "info", "clash": "error", "self": "warning"}
 
 
-class Allowance:
-    """So many a second, and a tenth of that at once."""
-
-    def __init__(self, rate: float) -> None:
-        self.rate, self.left, self.at = rate, rate / 10, clock()
-
-    def take(self) -> bool:
-        now = clock()
-        self.left = min(self.rate / 10, self.left + self.rate * (now - self.at) / 1e6)
-        self.at = now
-        if self.left < 1:
-            return False
-        self.left -= 1
-        return True
-
-
 class FleetDriver:
     """One process's membership. `seed`: of this process."""
 
@@ -58,7 +42,7 @@
         self.sock: Any = None
         self.reader: Any = None
         self.alarm: Alarm | None = None
-        self.all, self.unknown = Allowance(RATE), Allowance(UNKNOWN_RATE)
+        self.all, self.unknown = Bucket(RATE, RATE / 10), Bucket(UNKNOWN_RATE, UNKNOWN_RATE / 10)
         self.sources: OrderedDict[Any, None] = OrderedDict()
         self.dropped = {"unknown": 0, "unsent": 0, "held_back": 0}
 
@@ -126,7 +110,7 @@
         self._after()
         count = 0
         while True:
-            if not self.all.take():
+            if not self.all.take(clock()):
                 self.dropped["held_back"] += 1
                 gevent.sleep(0.05)  # the system drops what its buffer does not hold
                 continue
@@ -143,7 +127,7 @@
 
     def _took(self, data: bytes, source: Any) -> None:
         known = source in self.sources
-        if not known and not self.unknown.take():
+        if not known and not self.unknown.take(clock()):
             self.dropped["unknown"] += 1
             return
         try:
--- a/slatehub/fleet/membership.py
+++ b/slatehub/fleet/membership.py
@@ -121,13 +121,13 @@
 
 
 class Bucket:
-    """So many a second, so many at once."""
+    """So many a second, and so many of them at once."""
 
-    def __init__(self, rate: float) -> None:
-        self.rate, self.left, self.at = rate, rate, 0
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate, self.burst, self.left, self.at = rate, burst, burst, 0
 
     def take(self, now: int) -> bool:
-        self.left = min(self.rate, self.left + self.rate * max(0, now - self.at) / SECOND)
+        self.left = min(self.burst, self.left + self.rate * max(0, now - self.at) / SECOND)
         self.at = now
         if self.left < 1:
             return False
@@ -155,7 +155,7 @@
         self.number = rng.getrandbits(32)
         self.next_probe = self.next_gossip = self.next_lost = self.next_meet = 0
         self.compared = 0
-        self.bucket = Bucket(MEET_RATE)
+        self.bucket = Bucket(MEET_RATE, MEET_RATE)
         self.clashes: dict[int, int] = {}  # session of another process of our name -> contradictions
         self.refuted_at = 0
         self.left = False
