--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -36,6 +36,7 @@
         for name in ("p0", "p1", "p2"):
             until(lambda name=name: rig.alive(name) == {"p0", "p1", "p2"})
         until(lambda: rig.alive("p3") == {"p3"})
+        until(lambda: rig.status("p1")["lost"] == 2)  # suspected until then
         said = status(rig, "p1", "status")
         assert said.returncode == 1 and "alive 3 (this one included), suspect 0, lost 2" in said.stdout, said
         served = callers.statuses[1]
