A protocol of the fleet's meter that nobody used any more goes

Seen on reading the change again: the meter reads a server's calls in flight through the module alone since it counts the ends of calls itself; the protocol Server was left over. Measured: lint, types and the tests of the peers pass; nothing behaves otherwise.

--- a/slatehub/decisions/fleet/meter.py
+++ b/slatehub/decisions/fleet/meter.py
@@ -16,14 +16,6 @@
 FAILED = frozenset((Status.ERROR, Status.RESET, Status.CONNECT_FAILED, Status.TIMEOUT))
 
 
-class Server(Protocol):
-    """What is read of a server of the module's."""
-
-    entry: Any
-    flights: int
-    ejected: int
-
-
 class Module(Protocol):
     @property
     def servers(self) -> Mapping[int, Any]: ...
