A caller who has gone is heard although nobody reads it; nothing of it begins any more

Four causes: - fronts/http1/screens.py, `_taken`, `_find_room`, `_read`, `_slow`: the reader stands still behind pipelined orders, in line for room, and for good after a fault; its caller's close was seen by `recv` alone. Such a connection is now looked at each 30 ms (POLLRDHUP, also behind unread bytes) while a job of its waits. - `_serve`: an order and its caller's end read in one turn of the loop: the greenlet that was handed the order runs once more after `close`, and gave it to the desk. Deterministic with a half-closed connection. - nodes/http1.py, `_hand_over`: where the settings allow no withdrawal, an attempt whose connection was coming up was written after its caller had gone. Whether it is pointless is now asked after each wait. - the same, `_connect`: an errand stopped while its wait ended went on, opened a connection, and left it open and counted.

--- a/slatehub/cli/main.py
+++ b/slatehub/cli/main.py
@@ -15,6 +15,7 @@
 import click
 import gevent
 from gevent.event import Event as Bell
+from gevent.lock import BoundedSemaphore
 
 from .. import __version__
 from ..core.desk import SalesDesk
@@ -97,8 +98,18 @@
         self.peers, self.promises = peers, promises
         self.own, self.flights, self.listing, self.room, self.hall = own, flights, listing, room, hall
         self.operators, self.succession = operators, succession
+        self.at_work = BoundedSemaphore()
+
+    def close(self) -> None:
+        """None begins any more, and one that has begun is through: half a swap would leave a listener that nobody
+        looks after."""
+        self.at_work.acquire()
 
     def __call__(self) -> None:
+        with self.at_work:
+            self._try()
+
+    def _try(self) -> None:
         try:
             self._renew()
         except ConfigError as problem:
@@ -197,7 +208,8 @@
         self.room.resettle(self.hall.plant, nodes)
 
 
-LIST_S = 1.5  # for discovery to answer a process that takes over: an old list may name nodes that drain
+LIST_S = 1.5  # for discovery to answer a process that takes over, or whose lists are pushed: what discovery has then
+# counts as told from the first moment, and an old list may name nodes that drain
 own_file = click.option("--operator", "own", metavar="FILE", help="The operator's own file [SLATEHUB_OPERATOR].")
 
 
@@ -282,7 +294,7 @@
         promises.settle(plant)
         estate = process.inherit() if plant.mgmt else None
         listing.start()
-        if estate:
+        if estate or plant.settings.pushed_discovery:
             listing.fresh.wait(LIST_S)
         hall.open(estate and estate.listener)
         if plant.mgmt:
@@ -301,10 +313,10 @@
     host, port = hall.listener.getsockname()[:2]
     say("start", f"{plant.name} listens on {host}:{port}, tier {plant.settings.tier}")
     renew_all = Renewal(own, flights, listing, room, hall, operators, succession, peers, promises)
-    renewer = gevent.spawn(each, renewal, renew_all)
+    gevent.spawn(each, renewal, renew_all)
     gevent.spawn(each, asked, flights.asked)
     stop.wait()
-    renewer.kill()
+    renew_all.close()
     say("stop", f"finishing {len(desk.ledger.names)} jobs in hand")
     hall.stop()
     promises.leave()
--- a/slatehub/fronts/http1/screens.py
+++ b/slatehub/fronts/http1/screens.py
@@ -5,8 +5,10 @@
 from __future__ import annotations
 
 import select
+import struct
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import gevent
@@ -41,6 +43,7 @@
 TAKE_US = 10_000_000  # for a caller to take its answer
 LINGER_US = 4_000_000  # for a caller to stop sending after an answer that ends the connection
 PACE_S = 0.002  # between two looks at what such a caller still sends
+GONE_S = 0.03  # between two looks whether callers who are not being read have gone: no attempt may begin 0.1 s later
 GREEN_US = 200_000  # a connection younger than this may have its first request on its way
 AHEAD = 1  # pipelined requests kept before their turn; what comes after them stays with the kernel
 MARGIN_US = 5_000  # an answer must have reached the caller by its time, not just have left here
@@ -50,6 +53,7 @@
     409: "Conflict", 413: "Content Too Large", 422: "Unprocessable Content", 431: "Request Header Fields Too Large",
     500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close that resets, where a clean end would pass for a whole answer
 PASSED_ON = ("x-request-id", "x-priority-class", "x-tenant-id", "x-retried", "x-attrs", "content-type")
 
 
@@ -123,6 +127,26 @@
         poll.register(self.sock.fileno(), select.POLLIN)
         return not poll.poll(0)
 
+    @property
+    def gone(self) -> bool:
+        """Whether the caller has closed, or reset, while it is owed the answer of a job; also behind bytes that nobody
+        has read. Who has shut only its sending side counts as gone too: nothing tells the two apart."""
+        if self.job is None or self.closed:
+            return False
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    @contextmanager
+    def _deaf(self) -> Iterator[None]:
+        """While the reader stands still it does not hear its caller go."""
+        self.hall.unheard(self)
+        try:
+            yield
+        finally:
+            if not self.taker.fault:  # after one nothing is read any more
+                self.hall.deaf.discard(self)
+
     # ------------------------------------------------------------ what a caller is waited for
 
     def _expect(self, due: int = 0, ring: Callable[[], None] | None = None) -> None:
@@ -147,6 +171,7 @@
         if not self.taker.fault:
             self.taker.fault = Bad(408, "request not finished in time")
             self.reader.kill(block=False)
+            self.hall.unheard(self)
             gevent.spawn(self.orders.put, self.taker.fault)
 
     def _weigh(self) -> None:
@@ -176,7 +201,7 @@
         self._expect()  # it is we who wait
         self.hall.in_line.append(self)
         try:
-            with gevent.Timeout(ROOM_US / 1e6, False):  # type: ignore[arg-type]  # False: it ends without a word
+            with self._deaf(), gevent.Timeout(ROOM_US / 1e6, False):  # type: ignore[arg-type]  # it ends without a word
                 while self.hall.in_line[0] is not self or self.hall.weight - self.weight + claim > room:
                     self.hall.freed.clear()
                     self.hall.freed.wait()
@@ -191,6 +216,8 @@
         try:
             while self._taken(self.sock.recv(PIECE)):
                 pass
+            if not self.closed:
+                self.hall.unheard(self)
         except OSError:
             self.close()
         except Exception as problem:
@@ -219,9 +246,10 @@
                 self.headed = 0
                 self.least = self.since + FIRST_US if first else clock() + SLOW_US
             self._expect(self._due(), self._slow)
-        while done:
-            self.orders.put(done[0])  # waits while too many are ahead; until then its bytes are in hand here
-            del done[0]
+        with self._deaf():
+            while done:
+                self.orders.put(done[0])  # waits while too many are ahead; until then its bytes are in hand here
+                del done[0]
         if self.taker.expects and not self.taker.fault:
             self.taker.expects = False
             if not self.owed:
@@ -232,7 +260,7 @@
 
     def _serve(self) -> None:
         try:
-            while self._turn(self.orders.get()):
+            while not self.closed and self._turn(self.orders.get()):
                 pass
             self._part()
         except OSError:
@@ -249,6 +277,8 @@
 
     def _turn(self, item: Request | Bad) -> bool:
         """Answers one; whether the connection goes on after it."""
+        if self.closed:  # in the moment in which this was handed over: the greenlet runs once more before it is ended
+            return False
         self.item = item
         if isinstance(item, Bad):
             say("callers", f"turned down: {item.status} {item.text}")
@@ -283,11 +313,14 @@
         rest, piece = printed.rest, printed.body
         assert rest is not None
         self.rest = rest
+        endless = printed.length is None and not chunked
         try:
             while piece:
                 self._write(head + (b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece))
                 head = b""
                 if (piece := rest.next()) is None:  # type: ignore[assignment]
+                    if endless:
+                        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
                     raise OSError("the answer broke off")
             if chunked:
                 self._write(b"0\r\n\r\n")
@@ -365,6 +398,7 @@
         if self.closed:
             return
         self.reader.kill()
+        self.hall.deaf.discard(self)
         self._expect(clock() + LINGER_US, self.close)
         self.sock.shutdown(socket.SHUT_WR)
         while self.sock.recv_into(self.hall.bin, len(self.hall.bin), socket.MSG_TRUNC):
@@ -382,6 +416,8 @@
         self.weight = 0
         self.freed = Bell()  # some of it
         self.in_line: deque[OrderScreen] = deque()  # who waits for room, in turn
+        self.deaf: set[OrderScreen] = set()  # whose reader stands still
+        self.some_deaf = Bell()
         self.bin = bytearray(256 * 1024)
         self.end: PlannedStop | None = None
         self.drain = Drain()
@@ -399,8 +435,24 @@
         self.stalls.beat(clock())  # the start is over: what waited for it is read within the next moments
         self.opened = True
         self.heart = gevent.spawn(self._beat)
+        self.ear = gevent.spawn(self._listen)
         self.door = gevent.spawn(self._accept)
 
+    def unheard(self, screen: OrderScreen) -> None:
+        """From now on its reader stands still."""
+        self.deaf.add(screen)
+        self.some_deaf.set()
+
+    def _listen(self) -> None:
+        """Lets callers go whom no reader hears: what they wait for must not be begun any more."""
+        while True:
+            self.some_deaf.wait()
+            gevent.sleep(GONE_S)
+            for screen in [s for s in self.deaf if s.gone]:
+                screen.close()
+            if not self.deaf:
+                self.some_deaf.clear()
+
     def _beat(self) -> None:
         while True:
             gevent.sleep(BEAT_US / 1e6)
@@ -473,6 +525,12 @@
 
     def leave(self, screen: OrderScreen) -> None:
         self.screens.pop(screen, None)
+        self.deaf.discard(screen)
+
+    def _let_in(self, sock: Any) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.screens[OrderScreen(self, sock)] = None
+        self.desk.connected()
 
     def _accept(self) -> None:
         while True:
@@ -483,8 +541,7 @@
                 self._hold_back()
                 while len(self.screens) >= self.most and not self._make_room():
                     gevent.sleep(0.02)  # all are at work; who comes next waits in the kernel's queue
-                sock, _ = self.listener.accept()
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                self._let_in(self.listener.accept()[0])
             except OSError as problem:
                 if self.listener.fileno() < 0:
                     return
@@ -494,8 +551,6 @@
                     self._make_room()
                     gevent.sleep(0.05)
                 continue
-            self.screens[OrderScreen(self, sock)] = None
-            self.desk.connected()
             gevent.sleep(0)  # a crowd at the door must not keep those inside from being read
 
     def _hold_back(self) -> None:
@@ -534,7 +589,9 @@
             now = clock()
             if self.end.parting(now):
                 for screen in list(self.screens):
-                    if screen.idle and (not screen.fresh or now - screen.since > NEWCOMER_US):
+                    old = not screen.fresh or now - screen.since > NEWCOMER_US
+                    # A close over what has come and was not read would reset it, and the last answer with it.
+                    if screen.idle and old and (screen.quiet or self.end.over(now)):
                         screen.close()
                 self._shut()
             gevent.sleep(0.02)
@@ -552,7 +609,6 @@
         self.listener.setblocking(False)
         try:
             while len(self.screens) < self.most:
-                sock, _ = self.listener.accept()
-                self.screens[OrderScreen(self, sock)] = None
+                self._let_in(self.listener.accept()[0])
         except OSError:
             pass
--- a/slatehub/nodes/http1.py
+++ b/slatehub/nodes/http1.py
@@ -211,6 +211,8 @@
         finally:
             # Guards against a fault of our own above: the job still gets its outcome, and so its answer.
             self.stop(broken(self._written))
+            if self.line:  # taken or opened after it was stopped: the greenlet runs once more before it is ended
+                self.line.close()
 
     def _say(self, topic: str, text: str, level: str, problem: Exception | None = None) -> None:
         node = self.room.desk.idents.get(self.attempt.endpoint)
@@ -264,13 +266,22 @@
             reply.parser = None  # it holds the reply: the two would wait for the collector
         line.close()
 
-    def _connect(self, machine: Machine) -> Line:
+    @property
+    def _pointless(self) -> bool:
+        """Whether nothing of it may go out any more: it has been stopped, its caller has gone or been answered, or the
+        node was told to drain. It is asked after each wait, while the first byte is still ours to keep: a withdrawal
+        comes only where the settings allow one."""
+        return self.over or self.attempt.job.answered or self.attempt.endpoint in self.room.desk.left
+
+    def _connect(self, machine: Machine) -> Line | None:
         """A new connection, as soon as the node can take another handshake: not all of ours at once to one that has
-        just come back, fewer while they fail. The attempt's own limit ends the wait."""
+        just come back, fewer while they fail. The attempt's own limit ends the wait. None where it became pointless."""
         room, endpoint = self.room, self.attempt.endpoint
         asked, good = clock(), False
         while room.plant.operator.storms.pace and (wait := room.pace.ask(asked, endpoint)):
             gevent.sleep(wait / 1e6)
+            if self._pointless:
+                return None
             asked = clock()
         try:
             line = self.line = room.open(machine)
@@ -285,18 +296,17 @@
             room.pace.opened(clock(), endpoint, good, asked)
 
     def _hand_over(self, machine: Machine) -> Line | None:
-        """The connection on which the whole request has been written; None where the node leaves."""
+        """The connection on which the whole request has been written; None where it has become pointless."""
         room, attempt = self.room, self.attempt
-        while True:
+        while not self._pointless:
             line = self.line = room.take(machine)
-            if line is None:
-                line = self._connect(machine)
-            if attempt.endpoint in room.desk.left:
-                # Told while the connection came up: a send is judged by its first byte, which is still ours to keep.
-                return None
+            line = line or self._connect(machine)
+            if line is None or self._pointless:
+                break
             left = attempt.deadline - clock()
             try:
                 line.write(to_bytes(attempt.job.order, host_of(line.peer), f"X-Timeout: {max(1, left)}u\r\n"))
                 return line
             except Stale:
                 line.close()  # no attempt has reached the node: the same one goes by the next connection
+        return None
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -39,7 +39,7 @@
 from slatehub.fronts.check import Request
 from slatehub.fronts.http1 import screens
 from slatehub.fronts.http1.screens import OrderHall, OrderScreen
-from slatehub.nodes.http1 import MachineRoom
+from slatehub.nodes.http1 import Errand, MachineRoom
 from slatehub.settings.operator import Operator
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -214,6 +214,7 @@
         stand.job("a")
         rest()
         room.send(stand.attempts[0])
+        gevent.sleep(0)  # the errand has asked for its connection and waits for it
         stand.desk.left[1] = clock()
         conn, _ = peer.accept()
         assert conn.recv(100) == b""
@@ -221,6 +222,43 @@
         assert [e.status for e in module.events if isinstance(e, Outcome)] == [Status.MOOT] and room.lines == 0
 
 
+def test_a_node_told_to_drain_before_an_attempt_begins_is_not_even_connected_to() -> None:
+    with listen() as peer:
+        module = Script(Send(1, 1))
+        stand = Stand(module)
+        room = room_for(stand, peer)
+        stand.job("a")
+        rest()
+        room.send(stand.attempts[0])
+        stand.desk.left[1] = clock()
+        rest()
+        assert [e.status for e in module.events if isinstance(e, Outcome)] == [Status.MOOT] and room.opened == 0
+
+
+@pytest.mark.parametrize("withdrawn", [False, True])
+def test_an_attempt_that_ends_in_the_moment_in_which_it_may_go_on_leaves_no_connection(withdrawn: bool) -> None:
+    """Its greenlet is about to run again, as its wait is over, when the attempt is stopped or its caller goes."""
+    with listen() as peer:
+        module = Script(Send(1, 1))
+        stand = Stand(module)
+        room = room_for(stand, peer)
+        stand.job("a")
+        rest()
+        asks = [1, 0]  # the node takes no handshake just now, then it does
+        room.pace.ask = lambda *_: asks.pop(0)  # type: ignore[method-assign]
+        errand = Errand(room, stand.attempts[0])
+        stand.attempts[0].errand = errand
+        gevent.sleep(0)
+        assert asks == [0]  # it sleeps
+        if withdrawn:
+            errand.over = True  # as `stop` leaves it, while the end of its greenlet is still on its way
+        else:
+            stand.desk.gone(stand.attempts[0].job)
+        while not errand.greenlet.dead:
+            gevent.sleep(0.001)
+        assert room.lines == 0 and room.opened == 0
+
+
 def carried(peer: Any, *answers: bytes) -> tuple[list[Status], MachineRoom]:
     """The outcomes that the module hears of when a node answers in these pieces, a turn of the loop apart."""
     module = Script(Send(1, 1))
