--- a/slatehub/fronts/http1/screens.py
+++ b/slatehub/fronts/http1/screens.py
@@ -588,15 +588,19 @@
         while self.screens or not (self.end.over(clock()) or self.taken_over.on):
             now = clock()
             if self.end.parting(now):
-                for screen in list(self.screens):
-                    old = not screen.fresh or now - screen.since > NEWCOMER_US
-                    # A close over what has come and was not read would reset it, and the last answer with it.
-                    if screen.idle and old and (screen.quiet or self.end.over(now)):
-                        screen.close()
+                self._see_off(now, self.end.over(now))
                 self._shut()
             gevent.sleep(0.02)
         self._shut()
 
+    def _see_off(self, now: int, over: bool) -> None:
+        """Closes who rests, at a planned stop. What has come and was not read yet is read first, and answered: a close
+        over it would reset the connection, and the last answer with it. `over`: nothing more is answered."""
+        for screen in list(self.screens):
+            old = not screen.fresh or now - screen.since > NEWCOMER_US
+            if screen.idle and old and (over or screen.quiet):
+                screen.close()
+
     def _shut(self) -> None:
         if self.listener.fileno() >= 0:
             self.door.kill()
