Servers that work on several calls at once get several: slots of other plants

Lines at fault: balance.py `share`, whose slots are those of a server of one core; theirs have two and wait for disks.

`wide` multiplies a server's slots, 1 to 4: it grows while all slots are in use and answers take under 1.4 times as long as uncrowded ones, and shrinks six times as fast beyond. What counts as uncrowded rises a seventh as fast under load as without.

tests/test_mechanism.py: `Cores`, three new tests. Sums after a drain: the sums follow what is known one server at a time; each is brought up to date first, and a part left over by the one that drains, which the test is for, would still stay. Room in the module: `may_have_run` and `unhold`, each used once or twice, went into their callers.

--- a/paddlestep/balance.py
+++ b/paddlestep/balance.py
@@ -32,6 +32,7 @@
 BREATH = 8.0  # calls at once for each slot that was left unused on average
 NEAR = 4  # servers that a sidecar keeps to while these serve
 FAIR, LESS = 0.7, 0.75  # as often as the others on average; part of the room (measured: higher and lower lose)
+WIDE_AT, WIDEST = 1.4, 4.0  # servers get more calls at once while answers take less than so many times as long
 MANY = 64  # servers that are all looked at for a call; of more, only some
 WATCH_PAUSE_US = 600_000  # the longest pause before discovery is asked again, half as long again by chance
 
@@ -44,9 +45,6 @@
         self.sent = sent
         self.status: Status | None = None
 
-    @property
-    def may_have_run(self) -> bool:
-        return self.status is None or not self.status.never_ran
 
 
 class Request:
@@ -147,6 +145,7 @@
         self.count = 0
         self.gap = self.sent_at = 0  # usual time between two sends; the last one
         self.memory: float = FADE_US  # how long blame is remembered
+        self.wide = 1.0  # calls that a server works on at once, as far as answers show
         self.stretch = 1.0  # how much longer answers take than uncrowded ones of their class
         self.budget = 1.0
         self.purses = [3.0] * len(settings.classes)
@@ -281,9 +280,13 @@
         self.means[cls] += (sample - self.means[cls]) * max(0.03, 1 / self.counts[cls])
         self.mean = self.mean or sample
         mean, base = self.means[cls], self.bases[cls]
-        base = mean if self.counts[cls] <= 8 else base + (mean - base) * (0.002 if mean > base else 0.1)
+        rise = 0.002 if self.used < 0.5 * self.slots else 0.0003  # under load longer answers are no new usual
+        base = mean if self.counts[cls] <= 8 else base + (mean - base) * (rise if mean > base else 0.1)
         self.bases[cls] = base
         self.stretch += (mean / base - self.stretch) * 0.05
+        room = WIDE_AT / self.stretch
+        if room < 1 or self.counts[cls] > 8 and (self.waiting or self.used > 0.8 * self.slots):
+            self.wide = min(WIDEST, max(1.0, self.wide * room ** (0.05 if room > 1 else 0.3)))
         slow = server.slowness(self.now)
         server.slow = max(0.1, slow + (sample / self.means[cls] - slow) * 0.2)
         server.seen = self.now
@@ -291,22 +294,21 @@
     def share(self, server: Server) -> float:
         """This sidecar's part of the calls that a server should hold; K_i is a whole number near it.
 
-        The paper's delay keeps a server busy while an answer travels. A server that waits for the tier below
-        idles in the same way, so that wait counts as delay: each tier below is taken to need, with its own
-        queue, as long as the server itself. More calls than that do not keep it busier; they overdrive it once
-        another server has gone, which it gets over only when few are left. Siblings cannot take turns, so with
-        several of them one more may wait, and two where many own a server: it idles otherwise while their calls are
-        held. The server is shared by all, and so are its slots."""
+        The paper's delay keeps a server busy while an answer travels. A server that waits for the tier below idles in
+        the same way: each tier below is taken to need, with its own queue, as long as the server itself. The paper's
+        servers have one core; those that work on several calls at once show it by answers that take hardly longer while
+        all slots are in use, and get more (`wide`), until they do. More calls than that overdrive a server once another
+        has gone, which it gets over only when few are left. Siblings cannot take turns, so with several of them one
+        more may wait, and two where many own a server. It is shared by all, and so are its slots."""
         below = self.set.tiers - 1 - self.set.tier
         if not self.count:
             return (1 + 2 * below) * self.part
         slowness = server.slowness(self.now)
         trip = max(1.0, self.mean * slowness)
-        # The wait below does not grow with a slow server, so the slots that it earns shrink. Guards against
-        # anything that slows one server or all of them, and lets one that is overdriven recover.
+        # The wait below does not grow with a slow server, so its slots shrink: lets one that is overdriven recover.
         wait = min(1.0, 2 / max(0.1, self.stretch * slowness)) * 2 * below
         spare = (self.set.siblings > 1) / (1 + 20 * self.turned) * (2 - 1 / self.owners)
-        return (2 * TP_US * (1 + below) / trip + 1 + wait + spare) * self.part
+        return (2 * TP_US * (1 + below) / trip + self.wide * (1 + wait) + spare) * self.part
 
     def limit(self, server: Server) -> int:
         """K_i: the share, or the part of an owner, rounded down but at least 1."""
@@ -565,12 +567,9 @@
         s.credit_at = self.now
         return s.near * s.credit
 
-    def unhold(self, request: Request) -> None:
+    def send(self, request: Request, server: Server) -> None:
         self.waiting -= request.held
         request.held = False
-
-    def send(self, request: Request, server: Server) -> None:
-        self.unhold(request)
         request.attempts.append(Attempt(server, self.now))
         # Blame fades over ten sends of ours if these take longer: who sends seldom must not forget between.
         if self.sent_at:
@@ -603,8 +602,8 @@
         return self.ready if self.harmless(request) else []
 
     def harmless(self, request: Request) -> bool:
-        """Whether one more try of it, ours or the caller's, cannot run it twice. Keyed classes count as unsafe."""
-        return request.kind.effect is Effect.SAFE or not any(a.may_have_run for a in request.attempts)
+        """Whether one more try cannot run it twice. Keyed classes count as unsafe."""
+        return request.kind.effect is Effect.SAFE or all(a.status and a.status.never_ran for a in request.attempts)
 
     def finish(self, request: Request) -> None:
         """The final answer of a request that was not served."""
@@ -615,8 +614,8 @@
         self.close(request)
 
     def close(self, request: Request) -> None:
-        self.unhold(request)
-        request.open = False
+        self.waiting -= request.held
+        request.held = request.open = False
         if not request.pending():
             self.requests.pop(request.id, None)
         elif self.set.may_cancel:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -70,6 +70,8 @@
     for i in range(100, 106):
         d.end(i)
     b = d.balancer
+    for s in b.ready:  # the sums follow what is known of all servers one by one; a part left over would stay
+        b.refresh(s)
     ready = [s for s in b.ready if s.ejected <= d.now]
     assert b.slots == pytest.approx(sum(b.share(s) for s in ready)) and b.free == pytest.approx(b.slots)
     assert b.out_count == len(b.ready) - len(ready) == 1
@@ -686,14 +688,20 @@
     d = Driver(settings(cheap, dear, may_cancel=False), servers=4)
     d.serve(1, 40, latency=100 * MS)
     let_in, asked = [0, 0], [0, 0]
+    work: dict[int, int] = {}  # until when each server is busy: it has one core, and does one call after the other
+    done: dict[int, int] = {}
     for i in range(1000, 5000):  # three times what the servers can do
         d.wait(8 * MS)
         cls = i % 2
         asked[cls] += 1
         let_in[cls] += not finals(d.ask(i, cls, left=1 * S))
+        for a in [a for a in d.done if isinstance(a, Send)]:
+            if a.request not in done:
+                done[a.request] = work[a.endpoint] = max(d.now, work.get(a.endpoint, 0)) + 100 * MS
         out = [(r.id, d.now - r.attempts[0].sent) for r in d.balancer.requests.values() if r.attempts]
-        for request, age in [x for x in out if x[1] > 96 * MS]:
+        for request, age in [x for x in out if done[x[0]] <= d.now]:
             d.end(request, latency=age)
+        d.done = [a for a in d.done if isinstance(a, Send) and a.request in d.balancer.requests]
     shares = [let_in[c] / asked[c] for c in (0, 1)]
     assert shares[1] > 1.1 * shares[0] and shares[0] > 0.4 * shares[1], shares
 
@@ -753,3 +761,61 @@
     assert not sends(d.wait(500 * MS))
     assert d.end(1, Status.RESET) == [Fail(1)]
     assert sends(d.ask(2)) and sends(d.end(2, Status.CONNECT_FAILED))
+
+
+class Cores:
+    """Servers that work on `cores` calls at once, 100 ms each; what is more waits its turn there."""
+
+    def __init__(self, cores: int, servers: int = 2) -> None:
+        self.d = Driver(settings(), servers=servers)
+        self.free = {n + 1: [0] * cores for n in range(servers)}
+        self.ends: dict[int, int] = {}
+        self.asked = self.served = self.most = 0
+
+    def ask(self, every_us: int, count: int) -> None:
+        for _ in range(count):
+            self.d.wait(every_us)
+            self.asked += 1
+            self.d.ask(self.asked)
+            self.settle()
+
+    def settle(self) -> None:
+        for a in [a for a in self.d.done if isinstance(a, Send) and a.request not in self.ends]:
+            core = min(range(len(self.free[a.endpoint])), key=self.free[a.endpoint].__getitem__)
+            began = max(self.d.now, self.free[a.endpoint][core])
+            self.ends[a.request] = self.free[a.endpoint][core] = began + 100 * MS
+        for r in [r for r in self.d.balancer.requests.values() if r.attempts and self.ends[r.id] <= self.d.now]:
+            self.served += 1
+            self.d.end(r.id, latency=self.d.now - r.attempts[0].sent)
+        self.d.done = [a for a in self.d.done if isinstance(a, Send) and a.request in self.d.balancer.requests]
+        self.most = max(self.most, *(s.flights for s in self.d.balancer.servers.values()))
+
+
+def test_servers_that_work_on_several_calls_at_once_get_several():
+    many = Cores(cores=4)
+    many.ask(100 * MS, 40)  # what they take uncrowded is known
+    many.ask(16 * MS, 900)  # three quarters of what they can do
+    before = many.served
+    many.ask(16 * MS, 300)
+    assert many.served - before > 0.95 * 300 and many.most >= 3
+
+
+def test_servers_of_one_core_are_soon_back_at_one_call_however_much_is_asked():
+    one = Cores(cores=1)
+    one.ask(200 * MS, 40)
+    one.ask(16 * MS, 600)  # three times what they can do
+    assert one.most <= 4 and one.d.balancer.wide < 1.6
+    assert all(s.flights <= 2 for s in one.d.balancer.servers.values())
+    # They are kept busy all the same: 20 calls a second are what they can do.
+    assert one.served > 0.8 * (40 + 600 * 0.016 * 20)
+
+
+def test_slots_shrink_again_once_answers_are_stretched():
+    many = Cores(cores=4)
+    many.ask(100 * MS, 40)
+    many.ask(16 * MS, 600)
+    before = many.d.balancer.wide
+    for cores in many.free.values():
+        del cores[1:]  # all but one core is lost
+    many.ask(16 * MS, 300)
+    assert before > 2 and many.d.balancer.wide < before / 1.5
