Siblings that tell each other go by the same slots; the suite had shown it

Each proxy widened its slots by what it saw, the loud one most, and the fleet's one line of refusals was no line any more. balance.py `share`: while siblings tell, nobody does. Left: such fleets before nodes of several cores have the slots of one.

--- a/paddlestep/balance.py
+++ b/paddlestep/balance.py
@@ -305,10 +305,10 @@
             return (1 + 2 * below) * self.part
         slowness = server.slowness(self.now)
         trip = max(1.0, self.mean * slowness)
-        # The wait below does not grow with a slow server, so its slots shrink: lets one that is overdriven recover.
-        wait = min(1.0, 2 / max(0.1, self.stretch * slowness)) * 2 * below
+        wait = min(1.0, 2 / max(0.1, self.stretch * slowness)) * 2 * below  # no longer at a slow server: it recovers
         spare = (self.set.siblings > 1) / (1 + 20 * self.turned) * (2 - 1 / self.owners)
-        return (2 * TP_US * (1 + below) / trip + self.wide * (1 + wait) + spare) * self.part
+        wide = 1.0 if self.peers.alive else self.wide  # siblings that tell share one line: none may go by its own
+        return (2 * TP_US * (1 + below) / trip + wide * (1 + wait) + spare) * self.part
 
     def limit(self, server: Server) -> int:
         """K_i: the share, or the part of an owner, rounded down but at least 1."""
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -21,6 +21,7 @@
     ListKind,
     ListUpdate,
     Outcome,
+    Peers,
     Probed,
     Refuse,
     Scope,
@@ -819,3 +820,14 @@
         del cores[1:]  # all but one core is lost
     many.ask(16 * MS, 300)
     assert before > 2 and many.d.balancer.wide < before / 1.5
+
+
+def test_siblings_that_tell_each_other_go_by_the_same_slots():
+    many = Cores(cores=4)
+    many.ask(100 * MS, 40)
+    many.ask(16 * MS, 600)
+    b = many.d.balancer
+    server = b.ready[0]
+    wide = b.share(server)
+    b.peers = Peers(alive=2)
+    assert wide > 2 * b.share(server)
