--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,9 @@
-"""What all tests share: where the code is found, and the list of tests that may fail (known_red.py)."""
+"""What all tests share: where the code is found, the list of tests that may fail (known_red.py), and that no test
+leaves anything behind that would keep the run from ending."""
 
 import sys
+import threading
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -11,6 +14,16 @@
 import known_red  # noqa: E402
 
 
+@pytest.fixture(autouse=True)
+def nobody_stays() -> Iterator[None]:
+    """Guards against a run that is over and never ends: the interpreter waits for threads that are no daemons, and a
+    test that fails may have left some that ask without end."""
+    before = set(threading.enumerate())
+    yield
+    left = [x for x in threading.enumerate() if x not in before and not x.daemon]
+    assert not left, f"still at work after the test: {left}"
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     known_red.mark(items, known_red.read(known_red.LIST))
 
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -37,6 +37,7 @@
         self.programs: dict[str, Program] = {}
         self.all: list[Program] = []
         self.discoveries: list[Discovery] = []
+        self.callers: list[Any] = []  # whoever asks without end; ended with the rig
         self.key = tmp / "fleet.key"
         keys.add(str(self.key), True)
 
@@ -119,6 +120,8 @@
             program.ending = True
         for node in rig.nodes:
             node.go.set()
+        for callers in rig.callers:
+            callers.end()  # also after a test that failed: they would ask for ever, and the run never end
         for program in rig.all:
             program.process.kill()
             program.process.wait()
@@ -141,7 +144,8 @@
         self.rig, self.on, self.statuses, self.slowest = rig, True, [0, 0], 0.0
         self.unheard = 0
         self.lock = threading.Lock()  # `order` counts its ids: two threads at once would give them out again
-        self.threads = [threading.Thread(target=self._ask, args=(i,)) for i in range(threads)]
+        rig.callers.append(self)
+        self.threads = [threading.Thread(target=self._ask, args=(i,), daemon=True) for i in range(threads)]
         for thread in self.threads:
             thread.start()
 
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -48,7 +48,8 @@
         self.told: dict[str, list[tuple[int, bytes]]] = {}
         self.lock = threading.Lock()
         self.count = 0
-        self.threads = [threading.Thread(target=self._ask, args=(i,)) for i in range(threads)]
+        rig.callers.append(self)
+        self.threads = [threading.Thread(target=self._ask, args=(i,), daemon=True) for i in range(threads)]
         for thread in self.threads:
             thread.start()
 
@@ -136,7 +137,7 @@
 def test_what_a_repeat_is_told_at_any_proxy(tmp_path: Path) -> None:
     with fleet(tmp_path, 3, voters=3) as rig:
         warm(rig)
-        out = threading.Thread(target=say, args=(rig, "p0", "held", "wait"))
+        out = threading.Thread(target=say, args=(rig, "p0", "held", "wait"), daemon=True)
         out.start()
         until(lambda: executions(rig)["held"] == 1)
         rig.programs["p0"].process.send_signal(signal.SIGHUP)  # how it ends is written down all the same
@@ -161,7 +162,9 @@
         status, text = say(rig, "p1", "d", body=large)
         assert status == 409 and b"executed by s-" in text
         found: list[tuple[int, bytes]] = []
-        threads = [threading.Thread(target=lambda n=n: found.append(say(rig, n, "e"))) for n in rig.names * 2]
+        threads = [
+            threading.Thread(target=lambda n=n: found.append(say(rig, n, "e")), daemon=True) for n in rig.names * 2
+        ]
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -200,7 +203,7 @@
             except OSError:
                 pass
 
-        thread = threading.Thread(target=out)
+        thread = threading.Thread(target=out, daemon=True)
         thread.start()
         rig.nodes[0].waiting = rig.nodes[1].waiting
         until(lambda: executions(rig)["b"] == 1)
--- a/tests/test_fleet_hard.py
+++ b/tests/test_fleet_hard.py
@@ -129,7 +129,7 @@
         most = Load(1, (FAR,) * len(PLAIN), ((FAR, FAR),) * 16, nodes)
         share.meter.read = lambda *_: most  # type: ignore[assignment]
         self.on = True
-        self.thread = threading.Thread(target=self._run)
+        self.thread = threading.Thread(target=self._run, daemon=True)
         self.thread.start()
 
     @staticmethod
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -73,7 +73,7 @@
         self.served = self.reopened = 0
         self.lost: list[str] = []
         jobs = [self._new] * 3 + [self._kept] * 3
-        self.threads = [threading.Thread(target=job) for job in jobs]
+        self.threads = [threading.Thread(target=job, daemon=True) for job in jobs]
         for thread in self.threads:
             thread.start()
 
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -40,7 +40,8 @@
         seen = sum(len(node.seen) for node in rig.nodes)
         os.kill(program.process.pid, signal.SIGSTOP)
         found: list[int] = []
-        caller = threading.Thread(target=lambda: found.append(program.ask(order("ok", LOOK, X_Timeout="2000m"))[0]))
+        asked = order("ok", LOOK, X_Timeout="2000m")
+        caller = threading.Thread(target=lambda: found.append(program.ask(asked)[0]), daemon=True)
         caller.start()
         time.sleep(3)
         os.kill(program.process.pid, signal.SIGCONT)
