Handover and operators' calls are not loaded where no address is named

Now cli/management.py loads cli/process.py, which needs them, when an address is named, at the start or by SIGHUP. test_log.py test_nothing_is_loaded_that_is_not_wanted names every part that is off, and failed before.

--- a/slatehub/cli/main.py
+++ b/slatehub/cli/main.py
@@ -26,14 +26,11 @@
 from ..drivers.desk import DeskDriver
 from ..fronts.http1.screens import OrderHall
 from ..fronts.listener import listen
-from ..handover.succession import Estate, Succession
-from ..mgmt.operations import Operations
-from ..mgmt.server import OperatorsDesk
-from ..mgmt.state import StateFile
 from ..nodes.http1 import MachineRoom
 from ..observe.log import say, settle, where
 from ..settings.reader import Address, ConfigError, Plant, load, renew
 from .flights import Flights
+from .management import Management
 from .peers import Peers
 from .promises import Promises
 
@@ -93,11 +90,11 @@
 
     def __init__(
         self, own: str | None, flights: Flights, listing: NodeList, room: MachineRoom, hall: OrderHall,
-        operators: OperatorsDesk, succession: Succession, peers: Peers, promises: Promises,
+        management: Management, peers: Peers, promises: Promises,
     ) -> None:  # fmt: skip
         self.peers, self.promises = peers, promises
         self.own, self.flights, self.listing, self.room, self.hall = own, flights, listing, room, hall
-        self.operators, self.succession = operators, succession
+        self.management = management
         self.at_work = BoundedSemaphore()
 
     def close(self) -> None:
@@ -127,7 +124,7 @@
         try:
             mgmt = bound("mgmt", listen, plant.mgmt) if plant.mgmt and plant.mgmt != old.mgmt else None
             plant = renew(old, plant)
-            callers, nodes, bytes_held = shares(plant, self.succession.linked)
+            callers, nodes, bytes_held = shares(plant, self.management.linked)
             self.promises.check(plant)
             self.flights.settle(plant)
             self.peers.settle(plant)  # the last that may still find something wrong
@@ -136,7 +133,7 @@
                 sock.close()
             raise
         if plant.mgmt != old.mgmt:
-            self.operators.open(mgmt)
+            self.management.open(mgmt)
         settle_log(plant)
         self.hall.desk.resettle(plant.settings, plant.max_open, recovery(plant))
         self.room.resettle(plant, nodes)
@@ -154,60 +151,6 @@
         raise ConfigError(f"{key}: {problem}") from None
 
 
-class Process:
-    """This process as one of two that are one proxy; what the handover and the operators' calls mean to its parts."""
-
-    def __init__(
-        self, by_hand: Maintenance, state: StateFile, listing: NodeList, hall: OrderHall, room: MachineRoom,
-        peers: Peers, promises: Promises,
-    ) -> None:  # fmt: skip
-        self.peers, self.promises = peers, promises
-        self.by_hand, self.state, self.listing, self.hall, self.room = by_hand, state, listing, hall, room
-        self.succession = Succession(hall.plant.name, hall.plant.listen, self)
-        self.operations = Operations(by_hand, state, listing, hall, self.succession.tell, peers.status,
-                                     promises.status, promises.change, promises.node)  # fmt: skip
-        self.do = promises.do = self.operations.do
-        promises.out_here = by_hand.out
-
-    def rest(self) -> None:
-        self.hall.rest()
-        self.promises.rest()
-        self.peers.rest()
-
-    def resume(self) -> None:
-        self.hall.resume()
-        self.peers.serve()
-        self.promises.serve()
-
-    def inherit(self) -> Estate | None:
-        """What the process that is there holds, else what an earlier one left."""
-        estate = self.succession.meet()
-        held = [estate.holds.get(key) for key in ("out", "back")] if estate else []
-        if estate and all(isinstance(x, dict) for x in held):
-            self.by_hand.restore(*held)  # type: ignore[arg-type]  # looked at in the line before
-        else:
-            self.state.load(self.by_hand)
-        return estate
-
-    def take_over(self, estate: Estate | None) -> None:
-        """The door is open here."""
-        if estate and estate.holds.get("drained") is True:
-            self.hall.fail()
-        self.succession.serve()
-
-    def holds(self) -> dict[str, Any]:
-        return {"out": self.by_hand.out, "back": dict(self.by_hand.back), "drained": self.hall.drain.on}
-
-    def listener(self, listen: Any) -> Any:
-        same = listen == list(self.hall.plant.listen) and self.hall.opened and self.hall.listener.fileno() >= 0
-        return self.hall.listener if same else None
-
-    def two(self, linked: bool) -> None:
-        callers, nodes, bytes_held = shares(self.hall.plant, linked)
-        self.hall.resettle(self.hall.plant, callers, bytes_held, None)
-        self.room.resettle(self.hall.plant, nodes)
-
-
 LIST_S = 1.5  # for discovery to answer a process that takes over, or whose lists are pushed: what discovery has then
 # counts as told from the first moment, and an old list may name nodes that drain
 own_file = click.option("--operator", "own", metavar="FILE", help="The operator's own file [SLATEHUB_OPERATOR].")
@@ -274,7 +217,6 @@
     desk = DeskDriver(core)
     room = MachineRoom(plant, desk, nodes)
     by_hand = Maintenance()
-    state = StateFile(plant.name)
     listing = NodeList(plant, desk, room, by_hand)
     hall = OrderHall(plant, desk, callers, bytes_held)
     flights = Flights(core, desk.idents)
@@ -284,22 +226,20 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop.set)
     desk.open(room, listing)
-    process = Process(by_hand, state, listing, hall, room, peers, promises)
-    succession = process.succession
-    operators = OperatorsDesk(process.operations)
+    management = Management(lambda linked: shares(hall.plant, linked), by_hand, listing, hall, room, peers, promises)
     try:
         promises.check(plant)
         flights.settle(plant)
         peers.settle(plant)
         promises.settle(plant)
-        estate = process.inherit() if plant.mgmt else None
+        estate = management.inherit() if plant.mgmt else None
         listing.start()
         if estate or plant.settings.pushed_discovery:
             listing.fresh.wait(LIST_S)
         hall.open(estate and estate.listener)
         if plant.mgmt:
-            process.take_over(estate)
-            operators.open(bound("mgmt", listen, plant.mgmt))
+            management.take_over(estate)
+            management.open(bound("mgmt", listen, plant.mgmt))
         peers.serve()
         promises.serve()
     except ConfigError as problem:
@@ -312,7 +252,7 @@
     gc.freeze()  # what is loaded now stays; collecting it again and again would only cost pauses
     host, port = hall.listener.getsockname()[:2]
     say("start", f"{plant.name} listens on {host}:{port}, tier {plant.settings.tier}")
-    renew_all = Renewal(own, flights, listing, room, hall, operators, succession, peers, promises)
+    renew_all = Renewal(own, flights, listing, room, hall, management, peers, promises)
     gevent.spawn(each, renewal, renew_all)
     gevent.spawn(each, asked, flights.asked)
     stop.wait()
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -273,7 +273,8 @@
         until(lambda: " gevent " in p.program.log[-1])
         loaded = set(p.program.log[-1].split())
     assert "logfmter" in loaded and not loaded & {"tomllib", "msgspec", "slatehub.observe.recorder"}
-    assert not [name for name in loaded if name.startswith(("slatehub.fleet", "slatehub.cli.fleet"))]
+    off = ("fleet", "copies", "store", "handover", "mgmt", "cli.fleet", "cli.copies", "cli.store", "cli.process")
+    assert not [name for name in loaded if name.startswith(tuple(f"slatehub.{part}" for part in off))]
 
 
 def test_sighup_swaps_both_files_or_neither(tmp_path: Path) -> None:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -125,7 +125,7 @@
 
 
 def test_a_stop_waits_for_a_renewal_that_has_begun_and_none_begins_after_it() -> None:
-    parts: Any = [SimpleNamespace() for _ in range(8)]
+    parts: Any = [SimpleNamespace() for _ in range(7)]
     renewal, began, goes_on = Renewal(None, *parts), [], gevent.event.Event()
 
     def renew() -> None:
