Callers who go behind a full connection are seen to; nothing gets its last byte for them

Forced (test_gone.py): orders until neither side holds more, then close or half-close: the order was sent on, both times. Now each look at a caller whose reader stands still takes what has come off the system's hands (`OrderScreen.take_ahead`: 4 MiB of one caller, a quarter of all bytes in hand, 1 MiB at a time), which is read in its turn; test `..taken_ahead..` holds the order of answers and the memory.

Also forced: a body that its node is slow to take, settings without withdrawal, caller gone meanwhile: the node got the whole request (`Line.write`). Its last byte now goes out only while somebody waits; before it nothing has run.

--- a/slatehub/drivers/line.py
+++ b/slatehub/drivers/line.py
@@ -20,6 +20,7 @@
 
 ANSWER_US = 1_500_000  # for the rest of an answer once it has begun
 SLICE = 256 * 1024  # written in one go
+PROMPT = 16 * 1024  # a request up to this goes out at once
 HOLD_S = 0.002  # between the last byte but one and the last of a request on a connection used before
 
 
@@ -46,6 +47,10 @@
     """A connection used before turned out to be of no more use, in time: the peer has not got a whole request."""
 
 
+class Pointless(Broken):
+    """Nobody wants the answer any more, and the peer has not got a whole request."""
+
+
 class Spoilt(Broken):
     """The peer is there and has answered, with what cannot be read or is too large."""
 
@@ -160,8 +165,9 @@
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock.connect(self.peer)
 
-    def write(self, pieces: list[bytes | memoryview]) -> None:
-        """A whole request. On a connection used before, its last byte is held back until the peer has had time to say
+    def write(self, pieces: list[bytes | memoryview], pointless: Callable[[], bool] = lambda: False) -> None:
+        """A whole request, but for what has become `pointless` while the rest of it went out: its last byte is then
+        never written. On a connection used before, its last byte is held back until the peer has had time to say
         that it wants no more of it: guards against a reset that meets the request (what was written whole may have run,
         and may not go out again), and against a second copy of the last answer, or noise, still on its way, which
         would be taken for the next one's. Costs every such request the time of HOLD_S."""
@@ -181,6 +187,11 @@
             if self.state == "closed" or self._stirs():
                 raise Stale("ended, or spoke out of turn")
             first, data = [], data[-1:]
+        elif sum(map(len, pieces)) > PROMPT:  # the peer may take its time over it
+            self._send([*first, data[:-1]])
+            first, data = [], data[-1:]
+        if pointless():
+            raise Pointless("given up before its last byte")
         self._send([*first, data])
         self.written = True
 
--- a/slatehub/fronts/http1/screens.py
+++ b/slatehub/fronts/http1/screens.py
@@ -44,6 +44,9 @@
 LINGER_US = 4_000_000  # for a caller to stop sending after an answer that ends the connection
 PACE_S = 0.002  # between two looks at what such a caller still sends
 GONE_S = 0.03  # between two looks whether callers who are not being read have gone: no attempt may begin 0.1 s later
+AHEAD_MOST = 4 * 1024 * 1024  # bytes taken off the system's hands meanwhile: behind more of them no close is seen
+AHEAD_PART = 4  # of the bytes in hand, such of all callers are one such part at the most
+AHEAD_PIECES = 64  # at a time, so that one who writes without end leaves the others their turn
 GREEN_US = 200_000  # a connection younger than this may have its first request on its way
 AHEAD = 1  # pipelined requests kept before their turn; what comes after them stays with the kernel
 MARGIN_US = 5_000  # an answer must have reached the caller by its time, not just have left here
@@ -66,6 +69,7 @@
         self.since = clock()
         self.fresh = True  # nothing has been served on it
         self.weight = 0  # bytes of requests in hand
+        self.ahead = bytearray()  # come while the reader stood still, and not read yet
         self.headed = self.least = 0  # of the request that is coming: when its head had come, its time at the least
         self.item: Request | Bad | None = None  # what is being served
         self.alarm: Alarm | None = None  # for what the caller is waited for
@@ -106,7 +110,9 @@
         elif self.result.ready() and (answer := self.result.get()) and answer.printed and answer.printed.rest:
             answer.printed.rest.leave()  # it had come, and nobody had begun to write it
         self.hall.weight -= self.weight
+        self.hall.ahead -= len(self.ahead)
         self.weight = 0
+        self.ahead.clear()
         self.hall.freed.set()
         if self.job:
             self.hall.desk.gone(self.job)
@@ -123,9 +129,14 @@
     def quiet(self) -> bool:
         """Whether nothing is on its way from this caller: closing now crosses no request. What has come may not have
         been read yet while many come at once."""
+        return not (self.ahead or self._come)
+
+    @property
+    def _come(self) -> bool:
+        """Whether there is something to receive, be it the caller's end."""
         poll = select.poll()
         poll.register(self.sock.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return bool(poll.poll(0))
 
     @property
     def gone(self) -> bool:
@@ -147,6 +158,29 @@
             if not self.taker.fault:  # after one nothing is read any more
                 self.hall.deaf.discard(self)
 
+    def take_ahead(self) -> None:
+        """Takes what has come off the system's hands, unread, while the reader stands still: once the system holds no
+        more, its caller's close stays behind that, with the caller. Not of a large body that waits for its room."""
+        for _ in range(AHEAD_PIECES):
+            full = len(self.ahead) >= AHEAD_MOST or self.hall.ahead >= self.hall.room // AHEAD_PART
+            if self.job is None or self in self.hall.in_line or full or not self._come:
+                return
+            piece = self.sock.recv(PIECE)
+            if not piece:
+                return
+            if not self.taker.fault:  # after one nothing is read any more
+                self.ahead += piece
+                self.hall.ahead += len(piece)
+                self.weight += len(piece)
+                self.hall.weight += len(piece)
+
+    def _next(self) -> bytes:
+        """What the caller has sent next."""
+        piece = bytes(self.ahead[:PIECE])
+        del self.ahead[:PIECE]
+        self.hall.ahead -= len(piece)
+        return piece or bytes(self.sock.recv(PIECE))
+
     # ------------------------------------------------------------ what a caller is waited for
 
     def _expect(self, due: int = 0, ring: Callable[[], None] | None = None) -> None:
@@ -181,7 +215,7 @@
             return
         ahead = [self.item, *self.orders.queue, *self.taker.done]
         weight = max(self.taker.raw, self.taker.claim) * self.taker.busy
-        weight += sum(len(r.body) for r in ahead if isinstance(r, Request))
+        weight += sum(len(r.body) for r in ahead if isinstance(r, Request)) + len(self.ahead)
         self.hall.weight += weight - self.weight
         self.weight = weight
         self.hall.freed.set()
@@ -214,7 +248,7 @@
     def _read(self) -> None:
         # No frame that rests between two requests may name one: each open connection would keep its last bodies.
         try:
-            while self._taken(self.sock.recv(PIECE)):
+            while self._taken(self._next()):
                 pass
             if not self.closed:
                 self.hall.unheard(self)
@@ -415,6 +449,7 @@
         self.most = most
         self.room = room  # bytes of requests in hand
         self.weight = 0
+        self.ahead = 0  # of these, bytes that nobody has read yet
         self.freed = Bell()  # some of it
         self.in_line: deque[OrderScreen] = deque()  # who waits for room, in turn
         self.deaf: set[OrderScreen] = set()  # whose reader stands still
@@ -449,11 +484,20 @@
         while True:
             self.some_deaf.wait()
             gevent.sleep(GONE_S)
-            for screen in [s for s in self.deaf if s.gone]:
-                screen.close()
+            for screen in list(self.deaf):
+                self._hear(screen)
             if not self.deaf:
                 self.some_deaf.clear()
 
+    @staticmethod
+    def _hear(screen: OrderScreen) -> None:
+        try:
+            screen.take_ahead()
+            if screen.gone:
+                screen.close()
+        except OSError:  # reset
+            screen.close()
+
     def _beat(self) -> None:
         while True:
             gevent.sleep(BEAT_US / 1e6)
--- a/slatehub/nodes/http1.py
+++ b/slatehub/nodes/http1.py
@@ -18,7 +18,7 @@
 from ..decisions.pacing import NodePace, PaceTerms
 from ..drivers.clock import Alarm, clock
 from ..drivers.desk import DeskDriver
-from ..drivers.line import Broken, Line, Reply, Spoilt, Stale, host_of, to_bytes
+from ..drivers.line import Broken, Line, Pointless, Reply, Spoilt, Stale, host_of, to_bytes
 from ..drivers.pipe import Gone, Pipe
 from ..observe.log import say, where
 from ..settings.reader import Address, Plant
@@ -305,8 +305,11 @@
                 break
             left = attempt.deadline - clock()
             try:
-                line.write(to_bytes(attempt.job.order, host_of(line.peer), f"X-Timeout: {max(1, left)}u\r\n"))
+                request = to_bytes(attempt.job.order, host_of(line.peer), f"X-Timeout: {max(1, left)}u\r\n")
+                line.write(request, lambda: attempt.job.answered)  # one that has begun may go on to who drains
                 return line
+            except Pointless:
+                break
             except Stale:
                 line.close()  # no attempt has reached the node: the same one goes by the next connection
         return None
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 import pytest
-from plant import Node, Plant, field, plant, settings, until
+from plant import Node, Plant, answer, field, plant, read_head, settings, until
 from plant import order as any_order
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close that resets
@@ -217,3 +217,94 @@
         assert pool.submit(p.program.ask, order("ok", X_Request_ID="last")).result(20)[0] == 200
         until(lambda: not connecting(p, node.sock.getsockname()[1]))
         assert ids(p) == ["last"]
+
+
+def fill(conn: socket.socket) -> int:
+    """Orders, until neither side of the connection holds any more: what comes after them stays here, and so does the
+    caller's end."""
+    conn.setblocking(False)
+    sent, idle = 0, 0
+    while idle < 20:  # the other side's share grows while it is used
+        piece = order("ok", body=bytes(30_000))
+        try:
+            while piece:
+                done = conn.send(piece)
+                piece, sent, idle = piece[done:], sent + done, 0
+        except BlockingIOError:
+            idle += 1
+            time.sleep(0.005)
+            if sent > 3_000_000:
+                break
+    return sent
+
+
+@pytest.mark.parametrize("leave", [close, half])
+def test_who_goes_behind_more_than_its_connection_holds_is_not_sent_on(
+    tmp_path: Path, leave: Callable[[socket.socket], None]
+) -> None:
+    with crowded(tmp_path, may_cancel=False) as (p, go_on):
+        before = held(p)
+        conn = p.program.connect()
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 200_000)
+        conn.sendall(order("ok"))
+        until(lambda: held(p) > before)
+        assert fill(conn) > 300_000
+        leave(conn)
+        until(lambda: held(p) == before)
+        go_on()
+        conn.close()
+
+
+def test_what_was_taken_ahead_of_its_turn_is_answered_in_order_and_bounded(tmp_path: Path) -> None:
+    """Each order behind one that waits gets its own answer; of all that callers send ahead only so much is held."""
+    few = {"cores": 1.0, "memory_mb": 64, "sockets": 256}
+    with plant(tmp_path, settings=patient(may_cancel=False), limits=few) as p, ThreadPoolExecutor() as pool:
+        first = pool.submit(p.program.ask, order("wait"))
+        assert p.nodes[0].waiting.acquire(timeout=20)
+        crowd = [p.program.connect() for _ in range(12)]
+        bodies = [bytes([i]) * 30_000 for i in range(100)]
+        sending = [pool.submit(conn.sendall, b"".join(order("echo", body=body) for body in bodies)) for conn in crowd]
+        time.sleep(0.5)  # what is not taken by now stays where it is
+        memory = Path(f"/proc/{p.program.process.pid}/status").read_text()
+        assert int(memory.partition("VmRSS:")[2].split()[0]) < 64 * 1024
+        p.nodes[0].go.set()
+        assert first.result(20)[0] == 200
+        served = 0
+        for conn in crowd:
+            for body in bodies:
+                status, _, got = answer(conn)
+                assert (status, got) in ((200, body), (503, b"refused\n"))
+                served += status == 200
+            conn.close()
+        assert served
+        assert not [future.result(20) for future in sending if future.result(20)]
+
+
+class Sluggish(Node):
+    """Takes a head, and the body only when it is let."""
+
+    def _serve(self, conn: socket.socket) -> None:
+        with conn:
+            head, got = read_head(conn), 0
+            self.waiting.release()
+            self.go.wait(20)
+            while head and got < int(field(head, "content-length")):
+                got += len(piece := conn.recv(65536))
+                if not piece:
+                    self.left.release()
+                    return
+            self.seen.append(head)
+            self.reply(conn, head, b"")
+
+
+def test_who_goes_while_its_order_is_being_written_is_not_written_whole(tmp_path: Path) -> None:
+    with plant(tmp_path, kind=Sluggish, settings=patient(may_cancel=False)) as p:
+        watched(p)
+        before = held(p)
+        conn = p.program.connect()
+        conn.sendall(order("ok", body=bytes(12_000_000), X_Request_ID="gone"))
+        assert p.nodes[0].waiting.acquire(timeout=20)
+        conn.close()
+        until(lambda: held(p) <= before + 1)
+        p.nodes[0].go.set()
+        assert p.nodes[0].left.acquire(timeout=20) and not p.nodes[0].seen
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -590,7 +590,8 @@
 
 
 def test_an_answer_to_a_request_that_has_ended_here_never_answers_the_next_one() -> None:
-    hall: Any = SimpleNamespace(desk=SimpleNamespace(gone=lambda job: None), weight=0, freed=gevent.event.Event())
+    hall: Any = SimpleNamespace(desk=SimpleNamespace(gone=lambda job: None), weight=0, ahead=0)
+    hall.freed = gevent.event.Event()
     hall.leave = lambda screen: None
     ours, theirs = socket.socketpair()
     screen = OrderScreen(hall, ours)
