Fleet: what a node was ejected for counts until it is tried again

Trace of one: all four proxies ejected the node within 0.6 s, after two failures each, and not one left it to another in 20 s. Cause: decisions/fleet/meter.py `read` forgot a node's calls within 0.7 s also while the node was ejected, so that the others' two failures were gone when the next proxy told its own, and what had been served before outweighed two failures (2 of 6.6 calls: under the part of 0.6). Ruled out: sums that do not arrive (0.63 s old). Now the failures count for as long as this proxy has it ejected by its own judgement. Test of the pure parts fails before at each of three distances.

--- a/slatehub/decisions/fleet/meter.py
+++ b/slatehub/decisions/fleet/meter.py
@@ -95,6 +95,12 @@
                 counts[i] = 0
         fade = exp(-passed / ENDS_US)
         for number, ends in list(self.ends.items()):
+            server = module.servers.get(number)
+            if server and server.ejected > now and not server.told:
+                # What it was ejected for counts until it is tried again. Guards against proxies of little traffic that
+                # eject a node one after the other: each of two failures or three, forgotten before the next one's.
+                ends[1] = 0.0
+                continue
             ends[:] = [ends[0] * fade, ends[1] * fade]
             if number not in module.servers or max(ends) < 0.01:
                 del self.ends[number]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,10 +13,11 @@
 from hypothesis import settings as hypo
 from hypothesis import strategies as st
 
-from paddlestep.interface import Peers
+from paddlestep.interface import Outcome, Peers, Status
 from slatehub.cli.fleet import fleet as command
 from slatehub.decisions.fleet.load import MOST as MOST_OF
-from slatehub.decisions.fleet.load import PLAIN, Load, NodeLoad, clamped
+from slatehub.decisions.fleet.load import PLAIN, Load, NodeLoad, clamped, total
+from slatehub.decisions.fleet.meter import Meter
 from slatehub.decisions.fleet.views import NOBODY, Alone, Views, triers
 from slatehub.fleet.peer import Peer, Place
 from slatehub.fleet.seal import LARGEST, ROOM, Seal
@@ -427,6 +428,31 @@
     assert not any(v.barred for v in views.values())
 
 
+@pytest.mark.parametrize("apart_us", [0, 300_000, SECOND])
+def test_proxies_that_eject_a_node_one_after_the_other_leave_it_to_one(apart_us: int) -> None:
+    """Each has served many calls there just before, and ejects it for two failures."""
+    names = ["a", "b", "c", "d"]
+    meters = [Meter(EPOCH) for _ in names]
+    modules = []
+    for meter in meters:
+        module = Module()
+        module.servers = {n: SimpleNamespace(ejected=0, told=False, flights=0) for n in (1, 2)}
+        modules.append(module)
+        for node in (1, 2) * 18:
+            meter.batch(EPOCH, [Outcome(1, 0, node, Status.OK, 1000, True)], [])
+    now = EPOCH
+    for meter, module in zip(meters, modules, strict=True):
+        for _ in range(2):
+            meter.batch(now, [Outcome(1, 0, 1, Status.ERROR, 1000, True)], [])
+        module.servers[1].ejected = now + 5 * SECOND  # type: ignore[attr-defined]
+        now += apart_us
+        told = [meter.read(now, module) for meter, module in zip(meters, modules, strict=True)]
+    fleet = total(told)
+    views = {name: Views(name) for name in names}
+    found = [v.look(now, load(10.0), fleet, 0, [x for x in names if x != n]).barred for n, v in views.items()]
+    assert sorted(map(set, found), key=len) == [set(), {1}, {1}, {1}]
+
+
 def test_the_fleet_s_further_attempts_end_at_a_tenth_and_begin_again_below() -> None:
     view = Views("a")
 
