A caller that has been closed meanwhile is not read ahead

By reading: a caller may be closed while the look at all who are not heard goes through its list; its descriptor is gone then, and a poll of it would raise in the one greenlet that looks (`OrderScreen.take_ahead`).

--- a/slatehub/fronts/http1/screens.py
+++ b/slatehub/fronts/http1/screens.py
@@ -163,7 +163,7 @@
         more, its caller's close stays behind that, with the caller. Not of a large body that waits for its room."""
         for _ in range(AHEAD_PIECES):
             full = len(self.ahead) >= AHEAD_MOST or self.hall.ahead >= self.hall.room // AHEAD_PART
-            if self.job is None or self in self.hall.in_line or full or not self._come:
+            if self.closed or self.job is None or self in self.hall.in_line or full or not self._come:
                 return
             piece = self.sock.recv(PIECE)
             if not piece:
