What is taken ahead of a caller's turn has its two bounds forced by a test

Read once more: the test with twelve callers would pass with either bound taken away (36 MB of a process of 64). The new one fails without the bound of one caller, and without that of all. Three blank lines out of place went with it.

--- a/paddlestep/balance.py
+++ b/paddlestep/balance.py
@@ -46,7 +46,6 @@
         self.status: Status | None = None
 
 
-
 class Request:
     """A request from its arrival until its final answer and its last outcome."""
 
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -180,7 +180,6 @@
         assert say(rig, "p2", "a")[0] == 200
         rig.set(lambda net: net.sever("cut", ["p2"], ["p0", "p1"]))
 
-
         def alone() -> bool:
             """Silence shows in the time that an order is given, and is not told from a pause of this process: on a busy
             machine the first one may end before it has shown, and only the next one asks again."""
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -22,6 +22,7 @@
 
 from slatehub.cli.main import Renewal
 from slatehub.drivers.clock import clock
+from slatehub.fronts.http1 import screens
 
 READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -71,6 +72,31 @@
     place.close()
 
 
+@pytest.mark.parametrize("bound", ["of all", "of one"])
+def test_what_is_taken_ahead_has_a_bound_and_is_given_back(bound: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    hall = hall_for(Stand())
+    caller, screen = screen_for(hall, b"")
+    rest()
+    hall.room = 160_000 if bound == "of all" else 10_000_000
+    if bound == "of one":
+        monkeypatch.setattr(screens, "AHEAD_MOST", 40_000)
+    most = 40_000 + screens.PIECE
+    screen.job = SimpleNamespace(screen=screen)  # type: ignore[assignment]
+    caller.setblocking(False)
+    try:
+        while True:
+            caller.send(bytes(10_000))
+    except OSError:
+        pass
+    screen.take_ahead()
+    screen.take_ahead()
+    assert 40_000 <= len(screen.ahead) == hall.ahead == hall.weight < most
+    screen.job = None
+    screen.close()
+    assert hall.ahead == hall.weight == 0
+    caller.close()
+
+
 class Breaks(Node):
     """Begins a large answer without a length, and resets it."""
 
