--- a/review/rig.py
+++ b/review/rig.py
@@ -154,7 +154,9 @@
         with self.lock:
             self.runs.append((time.monotonic(), request, order))
             number = len(self.runs)
-        self.record(f"run      {self.ident} #{number}: id {request} {target}, {len(body)} bytes, order {order!r}")
+        self.record(
+            f"run      {self.ident} #{number}: id {request} {target}, {len(body)} bytes, order {order!r}"
+        )
         time.sleep(self.work_s)
         text = f"{order} executed by {self.ident} as #{number}".encode()
         return response("200 OK", text, "X-Server-Load: qps=3.0,util=0.30\r\n")
@@ -232,7 +234,9 @@
         return found[0], found[2]
 
     def wait_healthy(self) -> None:
-        self.rig.wait(f"{self.label} says yes to /healthcheck", lambda: self.call("GET", "/healthcheck")[0] == 200)
+        self.rig.wait(
+            f"{self.label} says yes to /healthcheck", lambda: self.call("GET", "/healthcheck")[0] == 200
+        )
 
 
 def exchange(
@@ -300,7 +304,11 @@
         """Starts a process of this proxy; its TMPDIR is that of the one that runs, if there is one."""
         running = self.current.get(name)
         beside = running is not None and running.process.poll() is None
-        tmp = running.tmp if running and beside else Path(tempfile.mkdtemp(dir=self.folder, prefix=f"tmp-{name}-"))
+        tmp = (
+            running.tmp
+            if running and beside
+            else Path(tempfile.mkdtemp(dir=self.folder, prefix=f"tmp-{name}-"))
+        )
         proxy = Proxy(self, name, self.config(name, services), tmp, f"{name}.{len(self.all)}")
         self.all.append(proxy)
         self.current[name] = proxy
