--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,82 +1,160 @@
-"""A client sends 28 orders at once on one connection. Each takes a node 0.2 s, so that all of them can be answered
-within their 6 s. Every one of them is owed a final answer."""
+"""Nodes in another zone send a second copy of some answers a few milliseconds late, when nothing else waits on the
+connection. Each client has to get the answer that a node made for its own request."""
 
 from __future__ import annotations
 
-import secrets
+import random
+import select
 import socket
+import threading
 import time
+from collections import Counter
 from pathlib import Path
+from queue import Queue
+from typing import Any
 
-from rig import TROUBLE, CouldNotRun, Rig, play, read_message
+import rig
+from rig import TROUBLE, CouldNotRun, Node, Rig, play, read_message, response, service
 
-COUNT, WORK_S, TIME_S, SLACK_S = 28, 0.2, 6.0, 0.5
-TEXT = "etichetta per cassette di arance, 4 colori, carta vergata, fustella 12; " * 5
+ONE_WAY_S = 0.010  # between two zones, also with TROUBLE=0
+COPY_SHARE = 0.05  # of the answers that a second copy follows
+LATE_S = (0.003, 0.008)  # how late it is sent: "some milliseconds"
+FULL_SHARE = 0.03  # of the requests that a node turns away, its queue being full; also with TROUBLE=0
+THINK_S = 0.03  # at most, between an answer and the next request of a client
+PLAY_S = 60.0
+READ, POST = "balance-read", "journal-post"
 
 
-def order(number: int) -> tuple[str, bytes]:
-    """Id and bytes of one order of some 650 bytes."""
-    request = secrets.token_hex(8)
-    body = TEXT.encode() + f"order {number:02d}".rjust(64).encode()
-    head = (
-        f"POST /order-place/new HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {request}\r\n"
-        f"X-Priority-Class: order-place\r\nX-Tenant-Id: cantina-etna\r\nX-Timeout: {TIME_S * 1000:.0f}m\r\n"
-        f"Content-Type: text/plain\r\nContent-Length: {len(body)}\r\n\r\n"
-    )
-    return request, head.encode() + body
-
-
-def send_at_once(rig: Rig, orders: list[tuple[str, bytes]]) -> list[str]:
-    """Writes all orders, then reads what comes. One line for each order without an answer in its time."""
-    host, _, port = rig.listen["p0"].partition(":")
-    with socket.create_connection((host, int(port)), TIME_S + 3) as conn, conn.makefile("rb") as stream:
-        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        conn.sendall(b"".join(data for _, data in orders))
-        sent_at = time.monotonic()
-        rig.record(f"sent     {len(orders)} orders, {sum(len(d) for _, d in orders)} bytes, one connection")
-        found, ended = [], ""
-        for request, _ in orders:
+class Link:
+    """The path between two zones: a TCP relay that delivers each piece ONE_WAY_S after it has come, in order."""
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.partition(":")
+        self.target = (host, int(port))
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                near, _ = self.sock.accept()
+                far = socket.create_connection(self.target)
+            except OSError:
+                return
+            for a, b in ((near, far), (far, near)):
+                a.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                pieces: Queue[tuple[float, bytes]] = Queue()
+                threading.Thread(target=self._take, args=(a, pieces), daemon=True).start()
+                threading.Thread(target=self._give, args=(b, pieces), daemon=True).start()
+
+    @staticmethod
+    def _take(sock: socket.socket, pieces: Queue[tuple[float, bytes]]) -> None:
+        data = b"x"
+        while data:
+            try:
+                data = sock.recv(65536)
+            except OSError:
+                data = b""
+            pieces.put((time.monotonic() + ONE_WAY_S, data))
+
+    @staticmethod
+    def _give(sock: socket.socket, pieces: Queue[tuple[float, bytes]]) -> None:
+        while True:
+            due, data = pieces.get()
+            time.sleep(max(0.0, due - time.monotonic()))
+            try:
+                if not data:
+                    sock.shutdown(socket.SHUT_WR)
+                    return
+                sock.sendall(data)
+            except OSError:
+                return
+
+
+class CopyingNode(Node):
+    """A sound node, but for the second copies. Its answer names the id of the request."""
+
+    def __init__(self, ident: str, *args: Any) -> None:
+        self.rng = random.Random(ident)
+        self.copies = 0
+        super().__init__(ident, *args)
+        self.link = Link(self.address)
+        self.address = self.link.address
+
+    def _serve(self, conn: socket.socket) -> None:
+        with conn, conn.makefile("rb") as stream:
             try:
-                message = None if ended else read_message(stream)
-            except OSError as problem:
-                message, ended = None, f"{type(problem).__name__}"
-            after = time.monotonic() - sent_at
-            if message:
-                rig.record(f"answered {request} after {after:.2f} s: {message[0]} {message[2][:80]!r}")
-            else:
-                ended = ended or "the proxy closed the connection"
-                rig.record(f"answered {request}: nothing, {ended} after {after:.2f} s")
-            if not message or after > TIME_S + SLACK_S:
-                found.append(
-                    f"order {request} has no answer {after:.1f} s after it was sent: {ended or 'late'}"
-                )
-        return found
-
-
-def send_one_by_one(rig: Rig, orders: list[tuple[str, bytes]]) -> list[str]:
-    """Each order after the answer to the one before, on one connection."""
-    host, _, port = rig.listen["p0"].partition(":")
-    found = []
-    with socket.create_connection((host, int(port)), TIME_S + 3) as conn, conn.makefile("rb") as stream:
-        for request, data in orders:
+                while message := read_message(stream):
+                    method, target, _ = message[0].split(" ", 2)
+                    data = self.answer(method, target, message[1], message[2])
+                    conn.sendall(data)
+                    if TROUBLE and self.rng.random() < COPY_SHARE:
+                        self._send_copy(conn, data, message[1].get("x-request-id", ""))
+            except (OSError, ValueError):
+                pass
+
+    def _send_copy(self, conn: socket.socket, data: bytes, request: str) -> None:
+        """Unless a byte of a further request, or the end of the connection, has come until then."""
+        if not select.select([conn], [], [], self.rng.uniform(*LATE_S))[0]:
+            self.copies += 1
+            self.record(f"copy     {self.ident}: second copy of the answer to {request}")
             conn.sendall(data)
-            rig.record(f"sent     {request}, {len(data)} bytes")
-            message = read_message(stream)
-            rig.record(f"answered {request}: {message and message[0]}")
-            if not message:
-                found.append(f"order {request} has no answer")
-    return found
+
+    def answer(self, method: str, target: str, headers: dict[str, str], body: bytes) -> bytes:
+        request = headers.get("x-request-id", "")
+        if self.rng.random() < FULL_SHARE:
+            self.record(f"turned   {self.ident}: id {request} {target} is turned away")
+            return response("503 Service Unavailable", b"full", "X-Not-Processed: 1\r\n")
+        with self.lock:
+            self.runs.append((time.monotonic(), request, target))
+        self.record(f"run      {self.ident}: id {request} {target}")
+        time.sleep(self.work_s)
+        return response("200 OK", f"answer to {request}".encode(), "X-Server-Load: qps=3.0,util=0.30\r\n")
 
 
-def case(rig: Rig) -> list[str]:
-    rig.start_all()
-    rig.warm_up()
-    orders = [order(i) for i in range(COUNT)]
-    found = (send_at_once if TROUBLE else send_one_by_one)(rig, orders)
-    rig.record(f"judge    {len(found)} of {COUNT} orders without an answer")
-    if rig.current["p0"].process.poll() is not None:
-        raise CouldNotRun("the proxy has ended")
+rig.Node = CopyingNode  # type: ignore[misc]
+rig.SERVICES[:] = [
+    service(READ, "retryable", 12.0) | {"slo_us": 1000000, "hard_limit_us": 2500000},
+    service(POST, "fragile", 1.0) | {"slo_us": 1000000, "hard_limit_us": 2500000},
+]
+rig.ZONES[:] = ["dar-kariakoo", "arusha"]
+
+
+def case(playing: Rig) -> list[str]:
+    playing.start_all()
+    playing.warm_up(READ)
+    found: list[str] = []
+    counts: Counter[int] = Counter()
+    until = time.monotonic() + PLAY_S
+
+    def client(number: int) -> None:
+        rng = random.Random(number)
+        cls, body = (POST, b"entry " * 16) if number % 2 else (READ, b"")
+        while time.monotonic() < until:
+            status, answer, request = playing.ask_id("p0", cls, "account", body, timeout_ms=2500)
+            counts[status] += 1
+            if status == 200 and answer != f"answer to {request}".encode():
+                found.append(f"request {request} of {cls} was answered 200 {answer.decode()!r}")
+            time.sleep(rng.uniform(0, THINK_S))
+
+    threads = [threading.Thread(target=client, args=(i,)) for i in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    foreign = len(found)
+    ran = Counter(request for _, request, target, _ in playing.runs() if POST in target)
+    found += [f"request {request} of {POST} ran {n} times" for request, n in ran.items() if n > 1]
+    copies = sum(node.copies for node in playing.nodes)
+    summary = (
+        f"answers {dict(counts)}, {copies} second copies, {foreign} foreign, {len(found) - foreign} ran twice"
+    )
+    playing.record(f"judge    {summary}")
+    print(summary)
+    if counts[200] < 1000:
+        raise CouldNotRun("too few requests were served")
     return found
 
 
-play(case, Path(__file__).parent, count=1, work_s=WORK_S)
+play(case, Path(__file__).parent, count=1, work_s=0.03)
--- a/review/rig.py
+++ b/review/rig.py
@@ -56,6 +56,7 @@
     service("order-place", "fragile", 10.0),
     service("reprint-order", "fragile", 5.0),
 ]
+ZONES = ["sala-macchine"]  # of the settings; the proxies are in the first, the nodes in the last
 TENANTS = {"cantina-etna": 0.4, "agrumi-piana": 0.3, "oleificio-nord": 0.3}
 
 
@@ -74,7 +75,7 @@
             "fall_multiple": 3.0, "tip_after_us": 1500000, "warm_after_us": 8800000,
         },
         "report": {"columns": ["qps", "util"], "source": "answers"},
-        "kinds": ["front-std"], "zones": ["sala-macchine"], "stages": ["front"], "me": me, "my_zone": 0,
+        "kinds": ["front-std"], "zones": ZONES, "stages": ["front"], "me": me, "my_zone": 0,
         "siblings": siblings, "tick_us": 5000, "tier": 0, "discovery": "on_request", "over_share_worth": 0.2,
         "family_info": {"passes_deadline": True},
     }  # fmt: skip
@@ -168,7 +169,7 @@
 
     def __init__(self, nodes: list[Node]) -> None:
         self.members = [
-            {"id": n.ident, "host_port": n.address, "locality": "sala-macchine", "flavor": "front-std", "cell": 0,
+            {"id": n.ident, "host_port": n.address, "locality": ZONES[-1], "flavor": "front-std", "cell": 0,
              "phase": "SERVING", "size": 1.0, "up_since_ms": 0} for n in nodes
         ]  # fmt: skip
         self.revision, self.changed = 1, threading.Condition()
@@ -342,11 +343,16 @@
             self.wait(f"{name} sees the group", lambda name=name: good(name))
         self.record("state    all proxies see the group of voters")
 
-    def ask(
+    def ask(self, *args: Any, **more: Any) -> tuple[int, bytes]:
+        """One try of a client at one proxy, with a new id. Status 0: no whole answer."""
+        status, body, _ = self.ask_id(*args, **more)
+        return status, body
+
+    def ask_id(
         self, name: str, cls: str, path: str, body: bytes = b"", key: str = "", timeout_ms: int = 6000,
         tenant: str = "cantina-etna",
-    ) -> tuple[int, bytes]:  # fmt: skip
-        """One try of a client at one proxy, with a new id. Status 0: no whole answer."""
+    ) -> tuple[int, bytes, str]:  # fmt: skip
+        """As `ask`, with the id of the request."""
         with self.lock:
             self.requests += 1
             request = f"{self.requests:08x}{secrets.token_hex(4)}"
@@ -356,14 +362,15 @@
         }  # fmt: skip
         if key:
             headers["Idempotency-Key"] = key
-        method = "GET" if cls == "job-status" else "POST"
+        effects = {x["name"]: x["idempotency"] for x in SERVICES}
+        method = "GET" if effects.get(cls) == "retryable" else "POST"
         if method == "POST":
             headers["Content-Length"] = str(len(body))
         about = f"{name}: id {request} {method} /{cls}/{path}" + (f" key {key}" if key else "")
         self.record(f"sent     {about}, {len(body)} bytes")
         found = exchange(self.listen[name], method, f"/{cls}/{path}", headers, body, timeout_ms / 1000 + 2)
         self.record(f"answered {about} -> {found[0]} {found[2][:120]!r}")
-        return found[0], found[2]
+        return found[0], found[2], request
 
     def ask_until(self, accepted: Any, *args: Any, tries: int = 40, pause_s: float = 0.1, **more: Any) -> Any:
         """Repeats a try that is refused (429, 503) or not answered, as clients do; the first other answer."""
