--- a/review/rig.py
+++ b/review/rig.py
@@ -337,7 +337,13 @@
             if status != 200:
                 return False
             tree = json.loads(body)
-            return bool(tree["majority"] and tree["caught_up"] and not tree["silent"] and not tree["before"])
+            return bool(
+                tree["votes"]
+                and tree["majority"]
+                and tree["caught_up"]
+                and not tree["silent"]
+                and not tree["before"]
+            )
 
         for name in self.names:
             self.wait(f"{name} sees the group", lambda name=name: good(name))
