--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,9 +19,8 @@
 ONE_WAY_S = 0.010  # between two zones, also with TROUBLE=0
 COPY_SHARE = 0.05  # of the answers that a second copy follows
 LATE_S = (0.003, 0.008)  # how late it is sent: "some milliseconds"
-FULL_SHARE = 0.03  # of the requests that a node turns away, its queue being full; also with TROUBLE=0
 THINK_S = 0.03  # at most, between an answer and the next request of a client
-PLAY_S = 60.0
+PLAY_S = 30.0
 READ, POST = "balance-read", "journal-post"
 
 
@@ -103,9 +102,6 @@
 
     def answer(self, method: str, target: str, headers: dict[str, str], body: bytes) -> bytes:
         request = headers.get("x-request-id", "")
-        if self.rng.random() < FULL_SHARE:
-            self.record(f"turned   {self.ident}: id {request} {target} is turned away")
-            return response("503 Service Unavailable", b"full", "X-Not-Processed: 1\r\n")
         with self.lock:
             self.runs.append((time.monotonic(), request, target))
         self.record(f"run      {self.ident}: id {request} {target}")
@@ -138,7 +134,7 @@
                 found.append(f"request {request} of {cls} was answered 200 {answer.decode()!r}")
             time.sleep(rng.uniform(0, THINK_S))
 
-    threads = [threading.Thread(target=client, args=(i,)) for i in range(8)]
+    threads = [threading.Thread(target=client, args=(i,), daemon=True) for i in range(8)]
     for thread in threads:
         thread.start()
     for thread in threads:
@@ -151,8 +147,8 @@
         f"answers {dict(counts)}, {copies} second copies, {foreign} foreign, {len(found) - foreign} ran twice"
     )
     playing.record(f"judge    {summary}")
-    print(summary)
-    if counts[200] < 1000:
+    rig.say(summary)
+    if counts[200] < 500:
         raise CouldNotRun("too few requests were served")
     return found
 
