--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -128,11 +128,14 @@
             request = Request(self.name, first, head.decode("latin-1"))
             size = int(request.header("content-length") or 0)
             self.requests.append(request)
-            while len(data) < size:
-                chunk = conn.recv(65536)
+            pieces, got = [data], len(data)
+            while got < size:
+                chunk = conn.recv(min(1 << 20, size - got))
                 if not chunk:
                     return
-                data += chunk
+                pieces.append(chunk)
+                got += len(chunk)
+            data = b"".join(pieces)
             request.body, data = data[:size], data[size:]
             request.last_byte = now()
             self.record(f"node {self.name} got {request.id}, first byte at {first:.3f}")
@@ -354,12 +357,14 @@
     head, _, body = data.partition(b"\r\n\r\n")
     lines = head.decode("latin-1").lower().split("\r\n")
     size = int(next((x.partition(":")[2] for x in lines if x.startswith("content-length:")), "0"))
-    while len(body) < size:
-        chunk = conn.recv(65536)
+    pieces, got = [body], len(body)
+    while got < size:
+        chunk = conn.recv(min(1 << 20, size - got))
         if not chunk:
             raise ConnectionError("closed within an answer")
-        body += chunk
-    return int(lines[0].split(" ")[1]), body
+        pieces.append(chunk)
+        got += len(chunk)
+    return int(lines[0].split(" ")[1]), b"".join(pieces)
 
 
 def play(folder: Path, case: Callable[[Record, list[Proxy]], str]) -> None:
