--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -372,6 +372,7 @@
     record = Record(folder)
     proxies: list[Proxy] = []
     code = 2
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))  # the proxies are ended below
     try:
         broken = case(record, proxies)
         record(f"BROKEN: {broken}" if broken else "the rule held")
