--- a/review/6/case.py
+++ b/review/6/case.py
@@ -120,7 +120,7 @@
         )
     try:
         for client in clients:
-            client.join(60)
+            client.join(max(0.0, end + 45 - now()))
         if bad:
             record(f"bad client: {bad.communicate(timeout=30)[0].strip()}")
     finally:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,5 +1,5 @@
-"""Clients send orders with a body of 8 MB and leave before they are answered. The bodies stay in the proxy's memory.
-The platform measures it, and kills the proxy when it is over its limit."""
+"""Beside usual traffic clients send orders with a body of 8 MB and leave in a burst before they are answered. The bodies
+stay in the proxy's memory. The platform measures it, and kills the proxy when it is over its limit."""
 
 from __future__ import annotations
 
@@ -27,20 +27,22 @@
     play,
     read_answer,
     request_bytes,
+    request_headers,
 )
 
 MEMORY_MB, SOCKETS = 192, 1024  # the most that a proxy gets
-CLIENTS = 4
+USUAL_CLIENTS, PAUSE_S = 8, 0.09  # some 41 requests a second
+BURST, BURST_EVERY_S = 12, 4.0  # clients that leave, all at once
 BODY = b"".join(b"%015d\n" % i for i in range(500_000))  # 8 MB
 STAY_S = 0.4  # after the last byte; then the client closes its connection
-NODE_S = 0.8  # for a node to answer
+NODE_S = 0.8  # for a node to answer an order; 0.1 s for a look-up
 PLAY_S = 40.0
 
 
 def case(record: Record, proxies: list[Proxy]) -> str:
     def answer(conn: socket.socket, request: Request) -> bool:
         request.body = b""
-        time.sleep(NODE_S)
+        time.sleep(NODE_S if request.target == "/order-place" else 0.1)
         conn.sendall(plain_answer(b"done " + request.id.encode()))
         return True
 
@@ -55,26 +57,43 @@
     told: Counter[str] = Counter()
     stopped = threading.Event()
 
-    def client(number: int) -> None:
+    def usual_client(number: int) -> None:
         count = 0
         while now() < end and not stopped.is_set():
             count += 1
-            ident = f"{number:04x}{count:012x}"
+            headers = request_headers(f"{number:04x}{count:012x}", "job-status")
             try:
-                with socket.create_connection(proxy.address) as conn:
-                    conn.settimeout(20)
-                    conn.sendall(request_bytes(ident, "order-place", BODY))
-                    if TROUBLE:
-                        time.sleep(STAY_S)
-                        result = "left"
-                    else:
-                        result = str(read_answer(conn)[0])
+                result = str(proxy.call("GET", "/job-status", headers=headers)[0])
             except OSError as problem:
                 result = type(problem).__name__
-            told[result] += 1
-            record(f"client {number}: {ident} {result}")
+            told[f"look-up {result}"] += 1
+            time.sleep(PAUSE_S)
 
-    clients = [threading.Thread(target=client, args=(i,), daemon=True) for i in range(CLIENTS)]
+    def order(ident: str) -> None:
+        try:
+            with socket.create_connection(proxy.address) as conn:
+                conn.settimeout(20)
+                conn.sendall(request_bytes(ident, "order-place", BODY))
+                if TROUBLE:
+                    time.sleep(STAY_S)
+                    result = "left"
+                else:
+                    result = str(read_answer(conn)[0])
+        except OSError as problem:
+            result = type(problem).__name__
+        told[f"order {result}"] += 1
+        record(f"order {ident}: {result}")
+
+    def bursts() -> None:
+        count = 0
+        while now() < end and not stopped.is_set():
+            for _ in range(BURST):
+                count += 1
+                threading.Thread(target=order, args=(f"{1 << 60 | count:016x}",), daemon=True).start()
+            time.sleep(BURST_EVERY_S)
+
+    clients = [threading.Thread(target=usual_client, args=(i,), daemon=True) for i in range(USUAL_CLIENTS)]
+    clients.append(threading.Thread(target=bursts, daemon=True))
     for thread in clients:
         thread.start()
     assert proxy.process
@@ -96,7 +115,7 @@
         time.sleep(0.005)
     record(f"highest private memory {highest / 1024:.1f} MB; so far: {dict(told)}")
     for thread in clients:
-        thread.join(25)
+        thread.join(max(0.0, end + 12 - now()))
     return broken
 
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -98,7 +98,7 @@
         time.sleep(0.005)
     record(f"highest private memory {highest / 1024:.1f} MB; answers so far: {dict(told)}")
     for thread in clients:
-        thread.join(25)
+        thread.join(max(0.0, end + 25 - now()))
     if broken:
         broken += f": the platform kills it, with {len(open_requests)} requests open"
     return broken
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -80,8 +80,9 @@
     clients = [threading.Thread(target=client, args=(i,), daemon=True) for i in range(2)]
     for thread in clients:
         thread.start()
+    end = now() + 105
     for thread in clients:
-        thread.join(108)
+        thread.join(max(0.0, end - now()))
     if any(thread.is_alive() for thread in clients):
         raise TimeoutError("the clients have not ended")
     return "; ".join(lost)
