--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,5 +1,5 @@
-"""Beside usual traffic clients send orders with a body of 8 MB and leave in a burst before they are answered. The bodies
-stay in the proxy's memory. The platform measures it, and kills the proxy when it is over its limit."""
+"""Beside usual traffic, clients send orders with a body of 8 MB and leave in a burst before they are answered. The
+bodies stay in the proxy's memory. The platform measures it, and kills the proxy when it is over its limit."""
 
 from __future__ import annotations
 
