Bodies of callers that left are freed at once, and count as held until they are

Cause: CallerConnection.close took the bytes of the request out of the count at once, while the job (until its last attempt has ended) and the greenlet that writes it to a node still held them, and it left a cycle of job and connection that only the garbage collector frees.

Change: a large body counts its own memory from its reservation until it is freed. A closing connection lets go of its job, its current request and its queue. Of two large bodies pipelined on one connection, the first no longer counts as the second's reservation.

--- a/slatehub/fronts/http1/request_parser.py
+++ b/slatehub/fronts/http1/request_parser.py
@@ -17,6 +17,7 @@
     READ_CHUNK_BYTES,
 )
 from ..validation import LocalResponse, ReceivedRequest, body_hash, to_origin_form
+from .large_body import CountBytes, LargeBody
 
 # Headers that may occur only once.
 SINGLE_VALUE_HEADERS = (
@@ -27,15 +28,17 @@
 class RequestParser:
     """Parses what a caller sends; httptools calls the on_ methods. Appends complete requests to `parsed`, and after an
     error, as the last item, the error response. `needs_digest`: whether the body of a request with these headers is
-    hashed, which happens as it is received."""
+    hashed, which happens as it is received. `count_bytes` counts the memory of large bodies."""
 
     def __init__(
         self,
         max_body: int = MAX_BODY_BYTES,
         needs_digest: Callable[[dict[str, str]], bool] = lambda headers: False,
+        count_bytes: CountBytes = lambda change: None,
     ) -> None:
         self.max_body = max_body  # bytes
         self.needs_digest = needs_digest
+        self.count_bytes = count_bytes
         self.parser: Any = httptools.HttpRequestParser(self)
         self.parsed: list[ReceivedRequest | LocalResponse] = []
         self.in_request = False
@@ -51,10 +54,16 @@
         self.head_size = 0  # bytes of the head reported by the parser so far
         self.headers: dict[str, str] = {}
         self.repeated_headers: set[str] = set()
-        self.body = bytearray()
+        self.body = bytearray()  # while it is small
+        self.large_body: LargeBody | None = None  # the whole body, once it is large
         self.body_hash: hashlib.blake2b | None = None
         self.declared_length = 0  # Content-Length of a body over MAX_BUFFERED_BODY_BYTES, else 0
 
+    @property
+    def body_size(self) -> int:
+        """Bytes of the body that have been received."""
+        return len(self.body if self.large_body is None else self.large_body)
+
     def close(self) -> None:
         """Drops the parser, which refers to this object. Without this reference cycle both are freed
         immediately, without the garbage collector."""
@@ -76,7 +85,7 @@
         # Counts bytes that the parser has not reported, too: it never reports a header or trailer that does not end.
         if self.bytes_read > MAX_HEAD_BYTES + READ_CHUNK_BYTES and (self.in_head or not self.in_request):
             self.error = self.error or LocalResponse(431, "head too large")
-        elif self.bytes_read > MAX_MESSAGE_BYTES + 2 * len(self.body):
+        elif self.bytes_read > MAX_MESSAGE_BYTES + 2 * self.body_size:
             self.error = self.error or LocalResponse(413, "too many bytes for one request")
         if self.error:
             self.reject(self.error)
@@ -127,18 +136,29 @@
             self.error = LocalResponse(413, "body too large")
         elif content_length.isdigit() and int(content_length) > MAX_BUFFERED_BODY_BYTES:
             self.declared_length = int(content_length)
+            self.large_body = LargeBody(self.count_bytes)
         if self.needs_digest(self.headers):
             self.body_hash = body_hash()
         self.expects_continue = self.headers.get("expect", "").lower() == "100-continue"
 
     def on_body(self, body: bytes) -> None:
-        if len(self.body) + len(body) > self.max_body:
+        if self.body_size + len(body) > self.max_body:
             self.error = self.error or LocalResponse(413, "body too large")
         if not self.error:
-            self.body += body
+            self._append_to_body(body)
             if self.body_hash:
                 self.body_hash.update(body)
 
+    def _append_to_body(self, data: bytes) -> None:
+        if self.large_body is None and len(self.body) + len(data) > MAX_BUFFERED_BODY_BYTES:
+            self.large_body = LargeBody(self.count_bytes)
+            self.large_body.append_bytes(self.body)
+            self.body.clear()
+        if self.large_body is None:
+            self.body += data
+        else:
+            self.large_body.append_bytes(data)
+
     def on_message_complete(self) -> None:
         self.in_request = self.expects_continue = False
         if self.error:
@@ -151,12 +171,11 @@
                 self.parser.get_method().decode("latin-1"),
                 to_origin_form(self.url.decode("latin-1")),
                 self.headers,
-                # A large body is not copied.
-                bytes(self.body) if len(self.body) <= MAX_BUFFERED_BODY_BYTES else self.body,
+                bytes(self.body) if self.large_body is None else self.large_body,
                 self.received_at,
                 bool(self.parser.should_keep_alive()),
                 self.parser.get_http_version() not in ("1.0", "0.9"),
                 self.body_hash.digest() if self.body_hash else b"",
             )
         )
-        self._clear()  # drops the second reference to the body
+        self._clear()
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -90,13 +90,15 @@
         self.sock = sock
         self.idle_since = clock()  # when it was accepted or the last response was complete
         self.fresh = True  # no request has been served yet
-        self.buffered_bytes = 0  # this connection's share of HttpServer.bytes_held
+        self.buffered_bytes = 0  # this connection's share of HttpServer.bytes_held, without large bodies
         self.read_ahead_buffer = ReadAheadBuffer()  # received while the reader was paused, not parsed yet
         # Of the request that is being received: when its head was complete, and the earliest time of its timeout.
         self.head_received_at = self.min_deadline = 0
         self.current: ReceivedRequest | LocalResponse | None = None  # being served
         self.timer: Timer | None = None  # the one timeout in force
-        self.parser = RequestParser(needs_digest=http_server.needs_digest)
+        self.parser = RequestParser(
+            needs_digest=http_server.needs_digest, count_bytes=http_server.count_bytes
+        )
         self.requests: Queue[ReceivedRequest | LocalResponse] = Queue(MAX_QUEUED_REQUESTS)
         self.job: Job | None = None
         self.result: AsyncResult[Answer] = AsyncResult()
@@ -141,17 +143,19 @@
             and answer.response.body_stream
         ):
             answer.response.body_stream.close()  # received, but forwarding had not begun
-        self.http_server.bytes_held -= self.buffered_bytes
+        self.http_server.count_bytes(-self.buffered_bytes)
         self.http_server.bytes_read_ahead -= len(self.read_ahead_buffer)
         self.buffered_bytes = 0
         self.read_ahead_buffer.clear()
-        self.http_server.memory_released.set()
-        if self.job:
-            self.http_server.dispatcher.caller_disconnected(self.job)
+        job, self.job, self.current = self.job, None, None
+        self.requests.queue.clear()
+        if job:
+            self.http_server.dispatcher.caller_disconnected(job)
         for greenlet in (self.reader, self.handler):
             if greenlet is not gevent.getcurrent():
                 greenlet.kill(block=False)
-        # The greenlets refer to this object; without these cycles its data is freed without the garbage collector.
+        # The greenlets refer to this object, as the job does; without these cycles its data, with it the body of the
+        # request, is freed without the garbage collector.
         del self.reader, self.handler
         self.sock.close()
         self.parser.close()
@@ -215,7 +219,7 @@
                 self.read_ahead_buffer.append(chunk, clock())
                 self.http_server.bytes_read_ahead += len(chunk)
                 self.buffered_bytes += len(chunk)
-                self.http_server.bytes_held += len(chunk)
+                self.http_server.count_bytes(len(chunk))
 
     def _receive(self) -> tuple[bytes, int]:
         """The next bytes from the caller, read-ahead first, and when they were received."""
@@ -244,7 +248,7 @@
             self.min_deadline,
             self.head_received_at
             + BODY_START_TIMEOUT_US
-            + len(self.parser.body) * 1_000_000 // MIN_BODY_BYTES_PER_S,
+            + self.parser.body_size * 1_000_000 // MIN_BODY_BYTES_PER_S,
         )
 
     def _on_idle_timeout(self) -> None:
@@ -267,14 +271,16 @@
         complete, so that it does not displace the requests of others."""
         if self.closed:
             return
+        large_body = self.parser.large_body
+        if large_body is not None:
+            large_body.reserve(max(self.parser.bytes_read, self.parser.declared_length))
+        buffered_bytes = self.parser.bytes_read if self.parser.in_request and large_body is None else 0
         requests = [self.current, *self.requests.queue, *self.parser.parsed]
-        buffered_bytes = max(self.parser.bytes_read, self.parser.declared_length) * self.parser.in_request
-        buffered_bytes += sum(len(r.body) for r in requests if isinstance(r, ReceivedRequest)) + len(
-            self.read_ahead_buffer
-        )
-        self.http_server.bytes_held += buffered_bytes - self.buffered_bytes
+        received_bodies = [request.body for request in requests if isinstance(request, ReceivedRequest)]
+        buffered_bytes += sum(len(body) for body in received_bodies if isinstance(body, bytes))
+        buffered_bytes += len(self.read_ahead_buffer)
+        self.http_server.count_bytes(buffered_bytes - self.buffered_bytes)
         self.buffered_bytes = buffered_bytes
-        self.http_server.memory_released.set()
         if (
             self.http_server.bytes_held > self.http_server.memory_limit
             and self.parser.in_request
@@ -295,11 +301,13 @@
         required_bytes = self.parser.declared_length or (
             self.parser.bytes_read if self.parser.bytes_read > MAX_MESSAGE_BYTES else 0
         )
+        large_body = self.parser.large_body
+        reserved_bytes = large_body.reserved if large_body is not None else 0
         limit = self.http_server.memory_limit - self.http_server.memory_limit // SMALL_REQUEST_MEMORY_DIVISOR
         if (
-            required_bytes <= self.buffered_bytes
+            required_bytes <= reserved_bytes
             or required_bytes > limit
-            or self.http_server.bytes_held - self.buffered_bytes + required_bytes <= limit
+            or self.http_server.bytes_held - reserved_bytes + required_bytes <= limit
         ):
             return
         self._set_timeout()  # the delay is on this side
@@ -309,7 +317,7 @@
             with self._reader_paused(), gevent.Timeout(MEMORY_WAIT_TIMEOUT_US / 1e6, False):  # type: ignore[arg-type]
                 while (
                     self.http_server.memory_waiters[0] is not self
-                    or self.http_server.bytes_held - self.buffered_bytes + required_bytes > limit
+                    or self.http_server.bytes_held - reserved_bytes + required_bytes > limit
                 ):
                     self.http_server.memory_released.clear()
                     self.http_server.memory_released.wait()
@@ -614,6 +622,12 @@
         self.disconnect_greenlet = gevent.spawn(self._disconnect_loop)
         self.acceptor = gevent.spawn(self._accept_loop)
 
+    def count_bytes(self, change: int) -> None:
+        """Adds to the count of bytes held, and wakes connections that wait for memory if some was released."""
+        self.bytes_held += change
+        if change < 0:
+            self.memory_released.set()
+
     def mark_reader_paused(self, connection: CallerConnection) -> None:
         """Includes a connection whose reader stops reading in the disconnect checks."""
         self.paused_readers.add(connection)
--- a/tests/proxy_rig.py
+++ b/tests/proxy_rig.py
@@ -68,7 +68,9 @@
                 while head := read_head(conn):
                     body = bytearray()
                     while len(body) < int(header_value(head, "content-length") or 0):
-                        body += conn.recv(65536)
+                        if not (piece := conn.recv(65536)):
+                            return  # closed within the body
+                        body += piece
                     self.requests.append(head + body.decode("latin-1"))
                     if not self.respond(conn, head, bytes(body)):
                         return
@@ -320,7 +322,9 @@
         raise ConnectionError("connection closed without a response")
     body, size = b"", int(header_value(head, "content-length"))
     while len(body) < size:
-        body += conn.recv(size - len(body))
+        if not (piece := conn.recv(size - len(body))):
+            raise ConnectionError("connection closed within a response")
+        body += piece
     return int(head.split(" ")[1]), head, body
 
 
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -651,11 +651,10 @@
 def test_an_answer_to_a_request_that_has_ended_here_never_answers_the_next_one() -> None:
     http_server: Any = SimpleNamespace(
         dispatcher=SimpleNamespace(caller_disconnected=lambda job: None),
-        bytes_held=0,
+        count_bytes=lambda change: None,
         bytes_read_ahead=0,
         needs_digest=lambda headers: False,
     )
-    http_server.memory_released = gevent.event.Event()
     http_server.remove = lambda connection: None
     ours, theirs = socket.socketpair()
     connection = CallerConnection(http_server, ours)
