A large body lies in a memory mapping of its own and takes no more than its size

Cause: a bytearray grown by pieces of 16 kB. After the first large block is freed, glibc serves such sizes from its heap: to grow is to copy, old and new beside each other, and what is freed stays with the process. Only the size was counted.

Change: LargeBody is an anonymous mapping of the declared size, or one that grows by 256 KiB. It gives its memory back when it is freed, whatever the allocator. A system without memory for it answers 503 for that request.

--- a/benchmarks/body_digest_cost.py
+++ b/benchmarks/body_digest_cost.py
@@ -30,7 +30,12 @@
 def measure(size: int, hashed: bool, traced: bool) -> Cost:
     """Feeds a request with a body of this size (bytes) in pieces as they are read from a socket. `traced`: measures the
     memory, which makes the times meaningless."""
-    parser = RequestParser(needs_digest=lambda headers: hashed)
+    held_bytes = [0]  # by the mapping of the body, which tracemalloc does not see
+
+    def count_bytes(change: int) -> None:
+        held_bytes.append(held_bytes[-1] + change)
+
+    parser = RequestParser(needs_digest=lambda headers: hashed, count_bytes=count_bytes)
     piece = bytes(READ_CHUNK_BYTES)
     if traced:
         tracemalloc.start()
@@ -43,7 +48,7 @@
         total_s += elapsed
         longest_s = max(longest_s, elapsed)
     assert len(parser.parsed) == 1
-    peak = tracemalloc.get_traced_memory()[1] if traced else 0
+    peak = tracemalloc.get_traced_memory()[1] + max(held_bytes) if traced else 0
     tracemalloc.stop()
     return Cost(total_s, longest_s, peak)
 
--- a/slatehub/core/jobs.py
+++ b/slatehub/core/jobs.py
@@ -25,7 +25,7 @@
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes | bytearray = b""
+    body: bytes | memoryview = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/slatehub/fronts/http1/request_parser.py
+++ b/slatehub/fronts/http1/request_parser.py
@@ -17,12 +17,13 @@
     READ_CHUNK_BYTES,
 )
 from ..validation import LocalResponse, ReceivedRequest, body_hash, to_origin_form
-from .large_body import CountBytes, LargeBody
+from .large_body import GROWTH_BYTES, CountBytes, LargeBody
 
 # Headers that may occur only once.
 SINGLE_VALUE_HEADERS = (
     "content-length", "transfer-encoding", "host", "x-request-id", "x-priority-class", "x-tenant-id", "x-timeout",
 )  # fmt: skip
+NO_MEMORY = LocalResponse(503, "no room")  # the system has none for a large body
 
 
 class RequestParser:
@@ -62,7 +63,7 @@
     @property
     def body_size(self) -> int:
         """Bytes of the body that have been received."""
-        return len(self.body if self.large_body is None else self.large_body)
+        return len(self.body) if self.large_body is None else self.large_body.received
 
     def close(self) -> None:
         """Drops the parser, which refers to this object. Without this reference cycle both are freed
@@ -136,7 +137,7 @@
             self.error = LocalResponse(413, "body too large")
         elif content_length.isdigit() and int(content_length) > MAX_BUFFERED_BODY_BYTES:
             self.declared_length = int(content_length)
-            self.large_body = LargeBody(self.count_bytes)
+            self._start_large_body(self.declared_length)
         if self.needs_digest(self.headers):
             self.body_hash = body_hash()
         self.expects_continue = self.headers.get("expect", "").lower() == "100-continue"
@@ -151,13 +152,24 @@
 
     def _append_to_body(self, data: bytes) -> None:
         if self.large_body is None and len(self.body) + len(data) > MAX_BUFFERED_BODY_BYTES:
-            self.large_body = LargeBody(self.count_bytes)
-            self.large_body.append_bytes(self.body)
-            self.body.clear()
+            self._start_large_body()
         if self.large_body is None:
             self.body += data
-        else:
-            self.large_body.append_bytes(data)
+            return
+        try:
+            self.large_body.append(data)
+        except OSError:
+            self.error = self.error or NO_MEMORY
+
+    def _start_large_body(self, capacity: int = GROWTH_BYTES) -> None:
+        """Moves the body into a mapping of its own, of this many bytes for now."""
+        try:
+            self.large_body = LargeBody(self.count_bytes, capacity)
+        except OSError:
+            self.error = self.error or NO_MEMORY
+            return
+        self.large_body.append(self.body)
+        self.body.clear()
 
     def on_message_complete(self) -> None:
         self.in_request = self.expects_continue = False
@@ -171,7 +183,7 @@
                 self.parser.get_method().decode("latin-1"),
                 to_origin_form(self.url.decode("latin-1")),
                 self.headers,
-                bytes(self.body) if self.large_body is None else self.large_body,
+                bytes(self.body) if self.large_body is None else self.large_body.content(),
                 self.received_at,
                 bool(self.parser.should_keep_alive()),
                 self.parser.get_http_version() not in ("1.0", "0.9"),
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -40,7 +40,7 @@
     validate_request,
 )
 from .read_ahead import ReadAheadBuffer
-from .request_parser import RequestParser
+from .request_parser import NO_MEMORY, RequestParser
 
 FIRST_BYTE_TIMEOUT_US = 2_200_000  # until the first byte on a new connection
 FIRST_REQUEST_TIMEOUT_US = 2_700_000  # from accepting the connection until the first request is complete
@@ -291,7 +291,7 @@
                 f"memory limit: rejected a request of {max(self.parser.bytes_read, self.parser.declared_length)} bytes",
                 "warning",
             )
-            self.parser.reject(LocalResponse(503, "no room"))
+            self.parser.reject(NO_MEMORY)
             self._update_buffered_bytes()
 
     def _wait_for_memory(self) -> None:
--- a/slatehub/fronts/validation.py
+++ b/slatehub/fronts/validation.py
@@ -33,7 +33,7 @@
     method: str
     target: str
     headers: dict[str, str]
-    body: bytes | bytearray
+    body: bytes | memoryview
     received_us: int
     keep_alive: bool
     accepts_chunked: bool = True  # the caller can read chunked responses
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -5,6 +5,8 @@
 
 import gc
 import socket
+import subprocess
+import sys
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -14,7 +16,7 @@
 
 import gevent
 import pytest
-from proxy_rig import ScriptedNode, build_request, read_head, running_proxy
+from proxy_rig import ScriptedNode, build_request, header_value, read_head, running_proxy
 from test_line import DispatcherRig, connect_caller, make_pool, make_server, open_listener, request_head
 
 from paddlestep.interface import Entry, ListKind, Status
@@ -151,3 +153,71 @@
         with p.program.connect() as conn:
             conn.sendall(build_request("ok"))
             assert read_head(conn).startswith("HTTP/1.1 200 ")
+
+
+INTERLEAVED_BODIES = """
+from pathlib import Path
+from slatehub.fronts.http1.request_parser import RequestParser
+
+SIZE, PIECE = 16_000_000, bytes(16_000)
+counted = 0
+
+def count(change):
+    global counted
+    counted += change
+
+def private_bytes():
+    rows = Path("/proc/self/status").read_text().splitlines()
+    return 1024 * sum(int(row.split()[1]) for row in rows if row.startswith(("RssAnon", "RssShmem")))
+
+head = b"POST /orders HTTP/1.1\\r\\nHost: x\\r\\n" + FRAMING + b"\\r\\n\\r\\n"
+piece = b"%x\\r\\n%b\\r\\n" % (len(PIECE), PIECE) if b"chunked" in FRAMING else PIECE
+before, excess = private_bytes(), 0
+parsers = [RequestParser(count_bytes=count) for _ in range(2)]
+for step in range(10 * SIZE // len(PIECE)):
+    for number, parser in enumerate(parsers):
+        position = (step + number * SIZE // len(PIECE) // 2) % (SIZE // len(PIECE))
+        if position == 0 or not parser.in_request:
+            parser.parsed.clear()
+            parsers[number] = parser = RequestParser(count_bytes=count)
+            parser.feed(head)
+        parser.feed(piece)
+    if step % 20 == 0:
+        excess = max(excess, private_bytes() - before - counted)
+print(excess)
+"""
+
+
+@pytest.mark.parametrize("framing", ["Content-Length: 16000000", "Transfer-Encoding: chunked"])
+def test_bodies_take_no_more_memory_than_is_counted_for_them(framing: str) -> None:
+    """A body that grew piece by piece was copied by the allocator, old and new beside each other, and what was freed
+    stayed with the process: twice its size and more, of which its size was counted."""
+    script = f"FRAMING = {framing.encode()!r}\n{INTERLEAVED_BODIES}"
+    argv = [sys.executable, "-B", "-c", script]
+    done = subprocess.run(argv, cwd=Path(__file__).parents[1], capture_output=True, text=True, timeout=120)
+    assert done.returncode == 0, done.stderr
+    assert int(done.stdout) < 2 * MEGABYTE
+
+
+@pytest.mark.parametrize(
+    "memory_mb, sockets, body_mb, calls", [(64, 256, 13, 50), (96, 256, 16, 50), (192, 1024, 32, 25)]
+)
+def test_large_bodies_keep_the_process_under_its_limit(
+    tmp_path: Path, memory_mb: int, sockets: int, body_mb: int, calls: int
+) -> None:
+    """25 callers send orders of one size, one at a time each, and get answers as long: the memory that the allocator
+    kept took the process over its limit."""
+    limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
+    body = bytes(range(250)) * (body_mb * 4_000)
+
+    def call(data: bytes) -> bool:
+        with p.program.connect() as conn:
+            conn.sendall(data)
+            head, stream = read_head(conn), conn.makefile("rb")
+            status, answer = head.split(" ")[1], stream.read(int(header_value(head, "content-length")))
+        return status == "503" or (status == "200" and answer == body)
+
+    with running_proxy(tmp_path, nodes=8, kind=WorkingNode, limits=limits) as p:
+        with MemoryWatch(p.program.process.pid) as watch, ThreadPoolExecutor(25) as pool:
+            assert all(pool.map(call, [build_request("echo", body=body) for _ in range(calls)]))
+        assert watch.highest < memory_mb << 20
