A caller that sends rejected requests again and again leaves the others their turn

Cause: reader and handler of a connection pass requests through a queue of one. Where no request waits for a node or a socket they wake each other within one callback of the hub, which does not return to the event loop as long as the caller goes on.

Change: after each answer the handler gives the event loop a turn while the connection has more whole requests. One request at a time pays a look at the queue.

Evidence: a trial with two greenlets and a queue alone: a timer of 5 ms fired once in 3 s, with the turn 517 times. tests/test_fairness.py: two of three kinds time out before.

--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -388,7 +388,10 @@
     def _serve_loop(self) -> None:
         try:
             while not self.closed and self._serve_request(self.requests.get()):
-                pass
+                if self.has_unanswered_request:
+                    # Reader and handler wake each other: where no request needs to wait for a node, the event loop
+                    # would not get a turn to serve the others as long as the caller goes on.
+                    gevent.sleep(0)
             self._linger()
         except OSError:
             pass
