A caller that takes a large answer at 64 kB a second gets all of it

Cause: 10 s for one write to the caller, and 10 s in the pipe for the node's side to wait for it, measure the send buffer: once it is full the system reports room only when a third of some MB is free, 15 to 20 s at that rate.

Change: a write that has not ended after 2 s is watched, and given up 35 s later, and later still by what the caller's system has acknowledged since, at 48 kB a second. A caller that takes nothing is closed after 37 s.

--- a/slatehub/drivers/pipe.py
+++ b/slatehub/drivers/pipe.py
@@ -1,13 +1,17 @@
 """A pipe from the greenlet that reads a large body to the one that writes it. It holds one chunk at a time, and neither
-side waits indefinitely for one that has gone."""
+side waits indefinitely for one that has gone. How long a caller may take for a chunk is the front's decision."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 
 from gevent.queue import Empty, Full, Queue
 
-STALL_TIMEOUT_S = 10.0  # for one chunk; a side that takes longer counts as gone
+STALL_TIMEOUT_S = 10.0  # for the writer to pass on a chunk; one that takes longer counts as gone
+READER_TIMEOUT_S = (
+    180.0  # the same for the reader, which closes the pipe long before if its caller takes nothing
+)
 
 
 def _nothing() -> None: ...
@@ -31,10 +35,12 @@
         if self.on_reader_closed is None:
             raise ReaderClosed
         try:
-            self.chunks.put(chunk, timeout=STALL_TIMEOUT_S)
+            self.chunks.put(chunk, timeout=READER_TIMEOUT_S)
         except Full:
-            self.close()
+            self._stop_writer()
             raise ReaderClosed from None
+        if self.on_reader_closed is None:  # closed while this waited
+            raise ReaderClosed
 
     def finish(self) -> None:
         """Marks the end of the body. The reader may close from now on without a call of `on_close`. Raises ReaderClosed
@@ -64,6 +70,11 @@
 
     def close(self) -> None:
         """Called by the reader when it does not read on."""
+        self._stop_writer()
+        with suppress(Empty):
+            self.chunks.get_nowait()  # wakes a writer that waits
+
+    def _stop_writer(self) -> None:
         on_close, self.on_reader_closed = self.on_reader_closed, None
         if on_close:
             on_close()
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -6,8 +6,11 @@
 
 from __future__ import annotations
 
+import fcntl
 import select
 import struct
+import sys
+import termios
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, nullcontext
@@ -20,6 +23,7 @@
 
 from ...core.jobs import Answer, AnswerStatus, BodyStream, Job, NodeRequest, NodeResponse
 from ...core.limits import MAX_MESSAGE_BYTES, READ_CHUNK_BYTES, RESOURCE_EXHAUSTED_ERRNOS
+from ...decisions.delivery import write_deadline
 from ...decisions.drain import HANDOVER_IDLE_GRACE_US, Drain
 from ...decisions.pacing import AcceptLimiter, AcceptLimiterConfig
 from ...decisions.shutdown import ShutdownSchedule
@@ -51,7 +55,10 @@
 SMALL_REQUEST_MEMORY_DIVISOR = 8  # one part in so many of the memory limit is reserved for small requests
 MEMORY_WAIT_TIMEOUT_US = 10_000_000  # until a large body gets memory
 KEEP_ALIVE_US = 10_000_000  # idle time between requests
-RESPONSE_WRITE_TIMEOUT_US = 10_000_000  # for a caller to receive one write
+WRITE_WATCH_DELAY_US = 2_000_000  # after which a write that has not ended is watched for progress
+# How long a caller may take nothing of a response: at 64 kB a second, the lowest rate that callers are promised, until
+# a sixteenth of a receive buffer of 32 MiB is free and its system asks for more.
+RESPONSE_WRITE_TIMEOUT_US = 35_000_000
 LINGER_TIMEOUT_US = 4_000_000  # for a caller to stop sending after a response that closes the connection
 DISCARD_INTERVAL_S = 0.002  # between two reads that discard what such a caller still sends
 # Interval between checks for disconnected callers while their connections are not read. No attempt may begin later than
@@ -82,6 +89,14 @@
 )
 
 
+def unacknowledged_bytes(sock: Any) -> int:
+    """Bytes in the send buffer that the peer's system has not acknowledged; 0 if the system does not tell."""
+    try:
+        return int.from_bytes(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+    except OSError:
+        return 0
+
+
 class CallerConnection:
     """A caller's connection. One greenlet reads and parses requests, another serves them in order."""
 
@@ -96,6 +111,7 @@
         self.head_received_at = self.min_deadline = 0
         self.current: ReceivedRequest | LocalResponse | None = None  # being served
         self.timer: Timer | None = None  # the one timeout in force
+        self.write_timer: Timer | None = None  # of the write in progress
         self.parser = RequestParser(
             needs_digest=http_server.needs_digest, count_bytes=http_server.count_bytes
         )
@@ -566,12 +582,27 @@
         )
 
     def _write(self, data: bytes) -> None:
-        """Sends all data. The connection of a caller that does not receive it in time is closed."""
-        timer = Timer(clock() + RESPONSE_WRITE_TIMEOUT_US, self.close)
+        """Sends all data. The connection of a caller that does not take it in time is closed (`write_deadline`)."""
+        self.write_timer = Timer(clock() + WRITE_WATCH_DELAY_US, self._watch_write)
         try:
             self.sock.sendall(data)
         finally:
-            timer.cancel()
+            self.write_timer.cancel()
+            self.write_timer = None
+
+    def _watch_write(self) -> None:
+        self._check_write(clock(), unacknowledged_bytes(self.sock))
+
+    def _check_write(self, watched_since: int, unacknowledged_before: int) -> None:
+        acknowledged = max(0, unacknowledged_before - unacknowledged_bytes(self.sock))
+        deadline = write_deadline(watched_since, acknowledged, RESPONSE_WRITE_TIMEOUT_US)
+        if clock() >= deadline:
+            log_event("callers", "closed: the caller does not take its response", "warning")
+            self.close()
+        else:
+            self.write_timer = Timer(
+                deadline, lambda: self._check_write(watched_since, unacknowledged_before)
+            )
 
     def _linger(self) -> None:
         """Closes the connection so that the last response arrives; a close with unread bytes would reset it. The kernel
