A large answer gives the event loop a turn after each piece

The pipe between the node's and the caller's greenlet is a queue of one, and where neither socket makes them wait they wake each other within one callback of the hub, for a whole answer.

Change: the caller's side gives the event loop a turn after each piece.

Evidence: tests/test_fairness.py, a pipe without sockets: no turn of the others before.

--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -485,6 +485,7 @@
             while chunk:
                 self._write(head + (b"%x\r\n%b\r\n" % (len(chunk), chunk) if chunked else chunk))
                 head = b""
+                gevent.sleep(0)  # a fast node and a fast caller must not hold up the others
                 if (chunk := body_stream.read_chunk()) is None:  # type: ignore[assignment]
                     if until_close:
                         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -9,8 +9,14 @@
 from contextlib import contextmanager, suppress
 from pathlib import Path
 
+import gevent
 import pytest
 from proxy_rig import SAFE_CLASS, ProxyRig, ScriptedNode, build_request, read_response, running_proxy
+from test_line import DispatcherRig, connect_caller, make_server
+
+from slatehub.core.jobs import NodeResponse
+from slatehub.drivers.pipe import Pipe
+from slatehub.fronts.http1.server import CallerConnection
 
 IN_FLIGHT = 500  # requests of the bad caller on its connection
 CALL_TIMEOUT = "2000m"  # X-Timeout of the usual callers
@@ -69,3 +75,30 @@
     expected = {200, 503} if kind == "no time left" else {200}
     with running_proxy(tmp_path, nodes=2, kind=PlainNode) as p, flood(p.program.address, BAD_REQUESTS[kind]):
         assert {call(p, number) for number in range(USUAL_CALLS)} <= expected
+
+
+def test_a_large_answer_leaves_the_others_their_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A node that gives and a caller that takes without a wait passed a whole answer of 32 MB through the pipe in one
+    callback of the event loop."""
+    chunks = 20_000
+    _, connection = connect_caller(make_server(DispatcherRig()), b"")
+    monkeypatch.setattr(CallerConnection, "_write", lambda self, data: None)
+    pipe = Pipe(lambda: None)
+    turns: list[int] = []
+
+    def give() -> None:
+        for _ in range(chunks):
+            pipe.write_chunk(b"x")
+        pipe.finish()
+
+    def serve_others() -> None:
+        while True:
+            gevent.sleep(0.001)
+            turns.append(1)
+
+    giver, others = gevent.spawn(give), gevent.spawn(serve_others)
+    connection._stream_response(b"", NodeResponse(b"x", "", pipe, chunks + 1), False)
+    giver.join()
+    others.kill()
+    connection.close()
+    assert len(turns) > 3
