--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -90,10 +90,11 @@
 
 
 def unacknowledged_bytes(sock: Any) -> int:
-    """Bytes in the send buffer that the peer's system has not acknowledged; 0 if the system does not tell."""
+    """Bytes in the send buffer that the peer's system has not acknowledged; 0 if that is not known, as of a closed
+    socket."""
     try:
         return int.from_bytes(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)), sys.byteorder)
-    except OSError:
+    except (OSError, ValueError):  # ValueError: the socket is closed
         return 0
 
 
