A head keeps the few headers that are read, so that its memory follows its bytes

Cause: each header became two strings and a row of a dict, ten to twenty times its bytes, for the time until the head was whole or its client was given up. Only the bytes were counted (one head of 16 kB in short fields kept 160 kB), and a head over 16 kB was turned down only once it had ended or passed 32 kB.

Change: the parser keeps what the program reads or forwards (`validation.is_kept`, the ledger's header among it) and checks the rest; 431 is given as soon as the head is too large.

--- a/slatehub/fronts/http1/request_parser.py
+++ b/slatehub/fronts/http1/request_parser.py
@@ -16,30 +16,36 @@
     MAX_MESSAGE_BYTES,
     READ_CHUNK_BYTES,
 )
-from ..validation import LocalResponse, ReceivedRequest, body_hash, to_origin_form
+from ..validation import (
+    KEPT_HEADERS,
+    SINGLE_VALUE_HEADERS,
+    LocalResponse,
+    ReceivedRequest,
+    body_hash,
+    to_origin_form,
+)
 from .large_body import GROWTH_BYTES, CountBytes, LargeBody
 
-# Headers that may occur only once.
-SINGLE_VALUE_HEADERS = (
-    "content-length", "transfer-encoding", "host", "x-request-id", "x-priority-class", "x-tenant-id", "x-timeout",
-)  # fmt: skip
 NO_MEMORY = LocalResponse(503, "no room")  # the system has none for a large body
 
 
 class RequestParser:
     """Parses what a caller sends; httptools calls the on_ methods. Appends complete requests to `parsed`, and after an
     error, as the last item, the error response. `needs_digest`: whether the body of a request with these headers is
-    hashed, which happens as it is received. `count_bytes` counts the memory of large bodies."""
+    hashed, which happens as it is received. `count_bytes` counts the memory of large bodies. `keeps_header`: whether a
+    header of this lower-case name is kept; others are only checked."""
 
     def __init__(
         self,
         max_body: int = MAX_BODY_BYTES,
         needs_digest: Callable[[dict[str, str]], bool] = lambda headers: False,
         count_bytes: CountBytes = lambda change: None,
+        keeps_header: Callable[[str], bool] = KEPT_HEADERS.__contains__,
     ) -> None:
         self.max_body = max_body  # bytes
         self.needs_digest = needs_digest
         self.count_bytes = count_bytes
+        self.keeps_header = keeps_header
         self.parser: Any = httptools.HttpRequestParser(self)
         self.parsed: list[ReceivedRequest | LocalResponse] = []
         self.in_request = False
@@ -111,13 +117,16 @@
             return  # a trailer must not be taken for a header
         lower_name = name.decode("latin-1").lower()
         self.head_size += len(name) + len(value) + 4
+        if self.head_size > MAX_HEAD_BYTES:
+            self.error = self.error or LocalResponse(431, "head too large")
         decoded_value = value.decode("latin-1").strip()
         if not decoded_value.replace("\t", " ").isprintable() and not self.error:
             # Some headers are forwarded to a node unchanged.
             self.error = LocalResponse(400, "control character in a header")
-        if lower_name in self.headers:
-            self.repeated_headers.add(lower_name)
-        self.headers[lower_name] = decoded_value
+        if self.keeps_header(lower_name):
+            if lower_name in self.headers:
+                self.repeated_headers.add(lower_name)
+            self.headers[lower_name] = decoded_value
 
     def on_headers_complete(self) -> None:
         self.in_head = False
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -35,9 +35,11 @@
 from ..listener import listen
 from ..responses import STATUS_CODES, error_body, retry_after_value
 from ..validation import (
+    FORWARDED_HEADERS,
     LocalResponse,
     ReceivedRequest,
     intent_register_key,
+    is_kept,
     is_recorded,
     request_digest,
     request_fingerprint,
@@ -79,14 +81,6 @@
 }  # fmt: skip
 # SO_LINGER value that makes close() send RST. A FIN would make a truncated response without a length look complete.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-FORWARDED_HEADERS = (
-    "x-request-id",
-    "x-priority-class",
-    "x-tenant-id",
-    "x-retried",
-    "x-attrs",
-    "content-type",
-)
 
 
 def unacknowledged_bytes(sock: Any) -> int:
@@ -114,7 +108,9 @@
         self.timer: Timer | None = None  # the one timeout in force
         self.write_timer: Timer | None = None  # of the write in progress
         self.parser = RequestParser(
-            needs_digest=http_server.needs_digest, count_bytes=http_server.count_bytes
+            needs_digest=http_server.needs_digest,
+            count_bytes=http_server.count_bytes,
+            keeps_header=http_server.keeps_header,
         )
         self.requests: Queue[ReceivedRequest | LocalResponse] = Queue(MAX_QUEUED_REQUESTS)
         self.job: Job | None = None
@@ -717,6 +713,10 @@
         """Whether the body of a request with these headers is hashed, for the ledger."""
         return is_recorded(headers, self.config)
 
+    def keeps_header(self, name: str) -> bool:
+        """Whether a header of this lower-case name is kept with its request."""
+        return is_kept(name, self.config)
+
     def ready(self, request: ReceivedRequest) -> LocalResponse:
         """The response to /ready."""
         if request.method not in ("GET", "HEAD"):
--- a/slatehub/fronts/validation.py
+++ b/slatehub/fronts/validation.py
@@ -14,6 +14,19 @@
 
 VISIBLE_ASCII = re.compile(r"[!-~]{1,128}\Z")
 DIGEST_BYTES = 16
+# Headers that may occur only once.
+SINGLE_VALUE_HEADERS = (
+    "content-length", "transfer-encoding", "host", "x-request-id", "x-priority-class", "x-tenant-id", "x-timeout",
+)  # fmt: skip
+FORWARDED_HEADERS = (
+    "x-request-id",
+    "x-priority-class",
+    "x-tenant-id",
+    "x-retried",
+    "x-attrs",
+    "content-type",
+)
+KEPT_HEADERS = frozenset((*SINGLE_VALUE_HEADERS, *FORWARDED_HEADERS, "expect"))
 TIMEOUT_VALUE = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])\Z", re.ASCII)
 
 
@@ -32,7 +45,7 @@
 
     method: str
     target: str
-    headers: dict[str, str]
+    headers: dict[str, str]  # those that `is_kept` names, in lower case
     body: bytes | memoryview
     received_us: int
     keep_alive: bool
@@ -85,6 +98,12 @@
     return cls, tenant, request.received_us + min(remaining_us, 3_600_000_000)  # at most one hour
 
 
+def is_kept(header: str, config: ProxyConfig) -> bool:
+    """Whether anything in the program reads or forwards a header of this lower-case name. A header takes many times its
+    bytes in memory, so that all others are dropped as they are received."""
+    return header in KEPT_HEADERS or header == config.operator.ledger.header
+
+
 def is_recorded(headers: dict[str, str], config: ProxyConfig) -> bool:
     """Whether requests with these headers are recorded in the ledger, if they have an idempotency key."""
     ledger = config.operator.ledger
--- /dev/null
+++ b/tests/test_crowd_memory.py
@@ -0,0 +1,57 @@
+"""Private memory beside crowds of slow and stopped clients: what is kept of them is bounded by what is counted."""
+
+from __future__ import annotations
+
+import tracemalloc
+
+import pytest
+
+from slatehub.core.limits import MAX_HEAD_BYTES
+from slatehub.fronts.http1.request_parser import RequestParser
+from slatehub.fronts.validation import ReceivedRequest
+from slatelab.soak.pictures import CrowdChoice
+from slatelab.soak.proxy_process import Limits
+from slatelab.soak.run import Plan, play
+
+# What may be kept of a head, in bytes for each byte of it, and beside that.
+MAX_BYTES_KEPT, PARSER_BYTES = 3, 4_000
+CROWD_SECONDS = 3.0
+
+
+def short_fields(size: int) -> bytes:
+    """Header lines with a name of their own each, together of this size."""
+    return b"".join(b"%04x:%d\r\n" % (i, i % 10) for i in range(size // 8))
+
+
+def test_a_head_of_many_short_fields_is_not_kept_as_objects() -> None:
+    head = b"GET /job-status HTTP/1.1\r\nX-Request-ID: a\r\n" + short_fields(MAX_HEAD_BYTES * 3 // 4)
+    parsers = [RequestParser() for _ in range(20)]
+    parsers[0].feed(head)
+    tracemalloc.start()
+    for parser in parsers[1:]:
+        parser.feed(head)
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert kept < (len(parsers) - 1) * (MAX_BYTES_KEPT * len(head) + PARSER_BYTES)
+    parsers[0].feed(b"\r\n")
+    (request,) = parsers[0].parsed
+    assert isinstance(request, ReceivedRequest) and request.headers == {"x-request-id": "a"}
+
+
+def test_a_head_that_is_too_large_is_rejected_before_it_ends() -> None:
+    parser = RequestParser()
+    parser.feed(b"GET / HTTP/1.1\r\n" + short_fields(MAX_HEAD_BYTES))
+    assert parser.error and parser.error.status == 431
+
+
+def check_crowd(limits: Limits, *crowds: CrowdChoice) -> None:
+    """Plays crowds beside usual traffic against a real process. No rule may be broken."""
+    result = play(Plan(1, ("crowd",), limits, CROWD_SECONDS, crowds=crowds))
+    assert not result.violations, (result.line(), result.violations[:5])
+
+
+@pytest.mark.parametrize("limits, count", [(Limits(32, 256), 150), (Limits(96, 1024), 580)])
+def test_a_crowd_with_heads_of_many_short_fields_keeps_the_process_under_its_limit(
+    limits: Limits, count: int
+) -> None:
+    check_crowd(limits, CrowdChoice("slow_heads", count, 30_000))
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -654,6 +654,7 @@
         count_bytes=lambda change: None,
         bytes_read_ahead=0,
         needs_digest=lambda headers: False,
+        keeps_header=lambda name: True,
     )
     http_server.remove = lambda connection: None
     ours, theirs = socket.socketpair()
