Of requests received at once only a few are parsed before their turn

Cause: up to 16 kB were fed to the parser at once. 80 small requests in them became 80 objects of some 2 kB each, for as long as the first one was in hand, and only their bodies were counted: 160 kB a connection, for 16 kB.

Change: what was received beyond one slice (1 kB between bodies; in a body no more than belongs to it) goes to the connection's read-ahead buffer and is parsed in its turn. A request that arrives alone is fed at once, as before.

--- a/slatehub/fronts/http1/read_ahead.py
+++ b/slatehub/fronts/http1/read_ahead.py
@@ -1,5 +1,6 @@
-"""Bytes that a caller has sent while its requests before them are still in hand. They are received, so that a close by
-the caller behind them can be noticed, but not parsed yet. Holds no socket and reads no clock."""
+"""Bytes that a caller has sent and that are not parsed yet: its requests before them are still in hand, or they were
+received together with these. A request takes several times its bytes once it is parsed. Holds no socket and reads no
+clock."""
 
 from __future__ import annotations
 
@@ -44,12 +45,16 @@
             self._chunks.append(_Chunk(data, received_at))
         self._size += len(data)
 
-    def take(self) -> tuple[bytes, int]:
-        """Removes the first bytes, READ_CHUNK_BYTES at the most. Returns them and when they were received. Raises
-        IndexError if there are none."""
-        chunk = self._chunks.popleft()
-        self._size -= len(chunk.data)
-        return bytes(chunk.data), chunk.received_at
+    def take(self, limit: int) -> tuple[bytes, int]:
+        """Removes the first bytes, `limit` at the most. Returns them and when they were received. Raises IndexError if
+        there are none."""
+        chunk = self._chunks[0]
+        data = bytes(chunk.data[:limit])
+        del chunk.data[:limit]
+        if not chunk.data:
+            self._chunks.popleft()
+        self._size -= len(data)
+        return data, chunk.received_at
 
     def clear(self) -> None:
         """Drops all bytes."""
--- a/slatehub/fronts/http1/request_parser.py
+++ b/slatehub/fronts/http1/request_parser.py
@@ -26,6 +26,10 @@
 )
 from .large_body import GROWTH_BYTES, CountBytes, LargeBody
 
+# Fed at once between bodies, so that few requests are parsed before they can be served.
+HEAD_SLICE_BYTES = 1024
+# Fed at once of a body that does not state its length: requests behind its end are parsed with it.
+CHUNKED_SLICE_BYTES = 4 * 1024
 NO_MEMORY = LocalResponse(503, "no room")  # the system has none for a large body
 
 
@@ -64,6 +68,7 @@
         self.body = bytearray()  # while it is small
         self.large_body: LargeBody | None = None  # the whole body, once it is large
         self.body_hash: hashlib.blake2b | None = None
+        self.content_length = 0  # of a body whose head is complete; 0 also if none is stated
         self.declared_length = 0  # Content-Length of a body over MAX_BUFFERED_BODY_BYTES, else 0
 
     @property
@@ -71,6 +76,14 @@
         """Bytes of the body that have been received."""
         return len(self.body) if self.large_body is None else self.large_body.received
 
+    @property
+    def wanted_bytes(self) -> int:
+        """How many bytes should be fed at once: no more than belongs to one request, where that is known."""
+        if self.in_head or not self.in_request:
+            return HEAD_SLICE_BYTES
+        remaining = self.content_length - self.body_size
+        return min(READ_CHUNK_BYTES, remaining) if remaining > 0 else CHUNKED_SLICE_BYTES
+
     def close(self) -> None:
         """Drops the parser, which refers to this object. Without this reference cycle both are freed
         immediately, without the garbage collector."""
@@ -144,9 +157,11 @@
             self.error = LocalResponse(400, "unknown Transfer-Encoding")
         elif content_length.isdigit() and int(content_length[:20]) > self.max_body:
             self.error = LocalResponse(413, "body too large")
-        elif content_length.isdigit() and int(content_length) > MAX_BUFFERED_BODY_BYTES:
-            self.declared_length = int(content_length)
-            self._start_large_body(self.declared_length)
+        elif content_length.isdigit():
+            self.content_length = int(content_length)
+            if self.content_length > MAX_BUFFERED_BODY_BYTES:
+                self.declared_length = self.content_length
+                self._start_large_body(self.declared_length)
         if self.needs_digest(self.headers):
             self.body_hash = body_hash()
         self.expects_continue = self.headers.get("expect", "").lower() == "100-continue"
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -229,17 +229,24 @@
             if not chunk:
                 return
             if not self.parser.error:  # after an error nothing more is read
-                self.read_ahead_buffer.append(chunk, clock())
-                self.http_server.bytes_read_ahead += len(chunk)
-                self.buffered_bytes += len(chunk)
-                self.http_server.count_bytes(len(chunk))
+                self._buffer(chunk, clock())
+
+    def _buffer(self, data: bytes, received_at: int) -> None:
+        self.read_ahead_buffer.append(data, received_at)
+        self.http_server.bytes_read_ahead += len(data)
+        self.buffered_bytes += len(data)
+        self.http_server.count_bytes(len(data))
 
     def _receive(self) -> tuple[bytes, int]:
-        """The next bytes from the caller, read-ahead first, and when they were received."""
+        """The next bytes from the caller, those received earlier first, and when they were received. They are few where
+        they may hold several requests."""
+        wanted_bytes = self.parser.wanted_bytes
         if not self.read_ahead_buffer:
-            data = bytes(self.sock.recv(READ_CHUNK_BYTES))
-            return data, clock()
-        data, received_at = self.read_ahead_buffer.take()
+            data, received_at = bytes(self.sock.recv(READ_CHUNK_BYTES)), clock()
+            if len(data) <= wanted_bytes:
+                return data, received_at
+            self._buffer(data, received_at)
+        data, received_at = self.read_ahead_buffer.take(wanted_bytes)
         self.http_server.bytes_read_ahead -= len(data)
         return data, received_at
 
--- a/tests/test_crowd_memory.py
+++ b/tests/test_crowd_memory.py
@@ -4,10 +4,13 @@
 
 import tracemalloc
 
+import gevent
 import pytest
+from test_line import DispatcherRig, connect_caller, make_server, request_head
 
+from paddlestep.interface import Entry, ListKind
 from slatehub.core.limits import MAX_HEAD_BYTES
-from slatehub.fronts.http1.request_parser import RequestParser
+from slatehub.fronts.http1.request_parser import HEAD_SLICE_BYTES, RequestParser
 from slatehub.fronts.validation import ReceivedRequest
 from slatelab.soak.pictures import CrowdChoice
 from slatelab.soak.proxy_process import Limits
@@ -44,6 +47,19 @@
     assert parser.error and parser.error.status == 431
 
 
+def test_few_of_the_requests_that_were_received_at_once_are_parsed_before_their_turn() -> None:
+    rig = DispatcherRig()
+    rig.driver.update_nodes(ListKind.FULL, 1, (Entry(1),))
+    http_server = make_server(rig)
+    requests = [request_head(f"r{number:03}") for number in range(100)]
+    caller, connection = connect_caller(http_server, b"".join(requests))
+    gevent.sleep(0.01)
+    parsed = len(connection.parser.parsed) + connection.requests.qsize()
+    assert len(rig.attempts) == 1 and parsed <= HEAD_SLICE_BYTES // len(requests[0]) + 1
+    connection.close()
+    caller.close()
+
+
 def check_crowd(limits: Limits, *crowds: CrowdChoice) -> None:
     """Plays crowds beside usual traffic against a real process. No rule may be broken."""
     result = play(Plan(1, ("crowd",), limits, CROWD_SECONDS, crowds=crowds))
@@ -55,3 +71,7 @@
     limits: Limits, count: int
 ) -> None:
     check_crowd(limits, CrowdChoice("slow_heads", count, 30_000))
+
+
+def test_a_crowd_that_pipelines_small_requests_keeps_the_process_under_its_limit() -> None:
+    check_crowd(Limits(32, 1024), CrowdChoice("pipelined", 340, 100_000))
