--- a/slatehub/cli/main.py
+++ b/slatehub/cli/main.py
@@ -54,19 +54,17 @@
 
 def resource_shares(config: ProxyConfig, shared_with_process: bool = False) -> tuple[int, int, int]:
     """Descriptors for callers, descriptors for nodes, and bytes for requests in progress. The memory of the flight
-    recorder, the fleet and the copies is subtracted first. `shared_with_process`: half of each, as a second process of
-    this proxy uses the other half during a hot restart."""
+    recorder, the fleet and the copies is subtracted first. `shared_with_process`: a second process of this proxy uses
+    half of the limits during a hot restart, and needs the memory of the program itself a second time."""
+    processes = 2 if shared_with_process else 1
     own = RESERVED_DESCRIPTORS + (MANAGEMENT_DESCRIPTORS if config.mgmt else 0)
     reserved_mb = (
         config.operator.recorder.memory_mb
         + config.operator.fleet.memory_mb
         + config.operator.copies.memory_mb
     )
-    callers, nodes, bytes_held = split_budget(
-        raise_descriptor_limit(config), config.memory_mb - reserved_mb, own
-    )
-    return (
-        (callers // 2, nodes // 2, bytes_held // 2) if shared_with_process else (callers, nodes, bytes_held)
+    return split_budget(
+        raise_descriptor_limit(config) // processes, config.memory_mb // processes - reserved_mb, own
     )
 
 
--- a/tests/test_crowd_memory.py
+++ b/tests/test_crowd_memory.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import tracemalloc
+from types import SimpleNamespace
+from typing import Any
 
 import gevent
 import pytest
 from test_line import DispatcherRig, connect_caller, make_server, request_head
 
 from paddlestep.interface import Entry, ListKind
+from slatehub.cli.main import resource_shares
 from slatehub.core.limits import MAX_HEAD_BYTES
+from slatehub.decisions.resource_budget import CONNECTION_KB, PROGRAM_MB, split_budget
 from slatehub.fronts.http1.request_parser import HEAD_SLICE_BYTES, RequestParser
 from slatehub.fronts.validation import ReceivedRequest
 from slatelab.soak.pictures import CrowdChoice
@@ -60,6 +64,26 @@
     caller.close()
 
 
+@pytest.mark.parametrize("memory_mb", [32, 64, 96, 192])
+@pytest.mark.parametrize("sockets", [256, 512, 1024])
+def test_connections_and_what_they_carry_fit_into_the_memory(memory_mb: int, sockets: int) -> None:
+    callers, nodes, held = split_budget(sockets, memory_mb)
+    connections = (callers + nodes) * CONNECTION_KB * 1024
+    assert connections + held * 4 // 3 <= (memory_mb - PROGRAM_MB) << 20
+    assert callers >= 100 and nodes >= 60 and held >= 1 << 20
+
+
+@pytest.mark.parametrize("memory_mb", [64, 192])
+def test_two_processes_of_an_upgrade_fit_into_the_memory_of_one_proxy(memory_mb: int) -> None:
+    limits = SimpleNamespace(memory_mb=0)
+    operator = SimpleNamespace(recorder=limits, fleet=limits, copies=limits)
+    config: Any = SimpleNamespace(sockets=1024, memory_mb=memory_mb, mgmt=None, operator=operator)
+    callers, nodes, held = resource_shares(config, shared_with_process=True)
+    process_bytes = (PROGRAM_MB << 20) + (callers + nodes) * CONNECTION_KB * 1024 + held * 4 // 3
+    assert 2 * process_bytes <= memory_mb << 20
+    assert 2 * (callers + nodes) < 1024
+
+
 def check_crowd(limits: Limits, *crowds: CrowdChoice) -> None:
     """Plays crowds beside usual traffic against a real process. No rule may be broken."""
     result = play(Plan(1, ("crowd",), limits, CROWD_SECONDS, crowds=crowds))
