One count of memory for requests and answers, with room left for whole ones

Cause: a large body that waits for memory has been read in part, and so had hundreds of them, beyond any limit. Answers were not counted at all: up to 64 kB collected from each node and as much again at each caller that takes it slowly.

Change: `core/memory.py` counts requests (with 2 kB for each as objects), what is received from nodes, and answers until they are written. Up to 7/8 of the limit large bodies may wait; at the limit requests that are not whole are turned down; 1/8 beyond it whole requests are refused at once (503, the connection stays open). While only the reserve is left, little is read at once and answers over 16 kB are forwarded as they come.

Beside it: an answer without a node's response (outcome unknown) that came as its caller left raised an AttributeError.

The tests of the server set the limit at its new place.

--- a/slatehub/cli/main.py
+++ b/slatehub/cli/main.py
@@ -19,6 +19,7 @@
 
 from .. import __version__
 from ..core.dispatcher import Dispatcher
+from ..core.memory import MemoryBudget
 from ..core.recovery import RecoveryConfig
 from ..decisions.maintenance import Maintenance
 from ..decisions.resource_budget import MANAGEMENT_DESCRIPTORS, RESERVED_DESCRIPTORS, split_budget
@@ -256,12 +257,13 @@
         args.object, args.exc_type, args.exc_value, args.exc_traceback
     )
     callers, nodes, bytes_held = resource_shares(config)
+    memory = MemoryBudget(bytes_held)
     dispatcher = Dispatcher(config.settings, config.seed, config.max_open, recovery(config))
     driver = DispatcherDriver(dispatcher)
-    node_pool = NodePool(config, driver, nodes)
+    node_pool = NodePool(config, driver, nodes, memory)
     maintenance = Maintenance()
     node_list = NodeList(config, driver, node_pool, maintenance)
-    http_server = HttpServer(config, driver, callers, bytes_held)
+    http_server = HttpServer(config, driver, callers, memory)
     recorder = RecorderLifecycle(dispatcher, driver.node_ids)
     peers = FleetLifecycle(config, driver)
     copies = CopiesLifecycle(config, driver, peers)
--- a/slatehub/drivers/upstream.py
+++ b/slatehub/drivers/upstream.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import select
+import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +16,7 @@
 
 from ..core.jobs import NodeRequest
 from ..core.limits import MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, READ_CHUNK_BYTES
+from ..core.memory import MemoryBudget
 from ..settings.reader import Address
 from .clock import Timer, clock
 from .pipe import STALL_TIMEOUT_S
@@ -66,10 +68,12 @@
     """Parses one response of a connection; httptools calls its on_ methods.
 
     A body of up to `limit` bytes is collected whole. With a `max_streamed_body` above it, a larger body of a 200 is
-    streamed, up to that size. The limits are in bytes."""
+    streamed, up to that size. The limits are in bytes. While `memory` is short less of it is collected. The body's
+    bytes are counted there until they are taken or `release` is called."""
 
-    def __init__(self, limit: int, max_streamed_body: int = 0) -> None:
+    def __init__(self, limit: int, max_streamed_body: int = 0, memory: MemoryBudget | None = None) -> None:
         self.limit = limit
+        self.memory = memory or MemoryBudget(sys.maxsize)
         self.max_streamed_body = max(limit, max_streamed_body)
         self.parser: Any = httptools.HttpResponseParser(self)
         self.status = 0
@@ -91,17 +95,23 @@
         have arrived."""
         if self.complete or self.status != 200 or self.max_streamed_body == self.limit:
             return False
-        return len(self.body) > self.limit or (
-            (self.declared_length or 0) > self.limit and len(self.body) >= READ_CHUNK_BYTES
+        limit = min(self.limit, READ_CHUNK_BYTES) if self.memory.short else self.limit
+        return len(self.body) > limit or (
+            (self.declared_length or 0) > limit and len(self.body) >= READ_CHUNK_BYTES
         )
 
     def take_body(self) -> bytes:
         """Removes and returns the part of the body that has arrived and has not been forwarded."""
         piece = bytes(self.body)
         self.forwarded_bytes += len(piece)
-        self.body.clear()
+        self.release()
         return piece
 
+    def release(self) -> None:
+        """Drops the part of the body that is here."""
+        self.memory.count(-len(self.body))
+        self.body.clear()
+
     def on_eof(self) -> None:
         """Handles the end of the peer's data. Raises UpstreamError unless the response ends by closing."""
         if not (self.started and self.has_final_head and self.ends_at_close) or self.complete:
@@ -158,6 +168,7 @@
     def on_body(self, body: bytes) -> None:
         if not self.complete and self.forwarded_bytes + len(self.body) <= self.max_streamed_body:
             self.body += body
+            self.memory.count(len(body))
 
     def on_message_complete(self) -> None:
         if self.complete or self.status < 200:  # after a 1xx the response is still to come
@@ -240,14 +251,20 @@
                     gevent.sleep(0)
 
     def read(
-        self, limit: int, on_stall: Callable[[], None] | None = None, max_streamed_body: int = 0
+        self,
+        limit: int,
+        on_stall: Callable[[], None] | None = None,
+        max_streamed_body: int = 0,
+        memory: MemoryBudget | None = None,
     ) -> UpstreamResponse:
         """Reads one response. If its body is larger than `limit` and `max_streamed_body` allows it (both in bytes),
         only the beginning is read, and `read_body_chunk` returns the rest. `on_stall` is called if the rest of a
         response does not arrive within RESPONSE_BODY_TIMEOUT_US of its beginning; a 1xx response does not start that
-        time. Raises OSError and UpstreamError."""
-        response = UpstreamResponse(limit, max_streamed_body)
+        time. The body is counted in `memory` until the caller releases it. Raises OSError and UpstreamError, with
+        nothing counted."""
+        response = UpstreamResponse(limit, max_streamed_body, memory)
         body_timer: Timer | None = None
+        finished = False
         try:
             while not (response.complete or response.streamed):
                 self._receive(response)
@@ -256,7 +273,10 @@
                     body_timer = None
                 elif on_stall and response.started and not body_timer:
                     body_timer = Timer(clock() + RESPONSE_BODY_TIMEOUT_US, on_stall)
+            finished = True
         finally:
+            if not finished:
+                response.release()
             if not response.streamed:
                 # Breaks a reference cycle that would keep the body until a garbage collection.
                 response.parser = None
@@ -275,7 +295,7 @@
         return response.take_body()
 
     def _receive(self, response: UpstreamResponse) -> None:
-        data = self.sock.recv(READ_CHUNK_BYTES)
+        data = self.sock.recv(response.memory.read_size)
         if data:
             response.feed(data)
         else:
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -23,6 +23,7 @@
 
 from ...core.jobs import Answer, AnswerStatus, BodyStream, Job, NodeRequest, NodeResponse
 from ...core.limits import MAX_MESSAGE_BYTES, READ_CHUNK_BYTES, RESOURCE_EXHAUSTED_ERRNOS
+from ...core.memory import MemoryBudget
 from ...decisions.delivery import write_deadline
 from ...decisions.drain import HANDOVER_IDLE_GRACE_US, Drain
 from ...decisions.pacing import AcceptLimiter, AcceptLimiterConfig
@@ -54,7 +55,6 @@
 UNREAD_INPUT_GRACE_US = 50_000  # for the reader to get to input that has come by the time of a timeout
 BODY_START_TIMEOUT_US = 1_000_000  # until the first byte of a body
 MIN_BODY_BYTES_PER_S = 48_000  # minimum average rate of a body after that
-SMALL_REQUEST_MEMORY_DIVISOR = 8  # one part in so many of the memory limit is reserved for small requests
 MEMORY_WAIT_TIMEOUT_US = 10_000_000  # until a large body gets memory
 KEEP_ALIVE_US = 10_000_000  # idle time between requests
 WRITE_WATCH_DELAY_US = 2_000_000  # after which a write that has not ended is watched for progress
@@ -72,6 +72,11 @@
 MAX_READ_AHEAD_CHUNKS = 64  # per call, so that a caller that sends without pause does not block the others
 MIN_EVICTION_AGE_US = 200_000  # the first request of a younger connection may still be in transit
 MAX_QUEUED_REQUESTS = 1  # parsed pipelined requests per connection; later ones stay in the kernel buffer
+PARSED_REQUEST_BYTES = 2048  # of a request as objects, beside its body
+STREAM_BYTES = (
+    3 * READ_CHUNK_BYTES
+)  # of a large answer that is being forwarded: received, in the pipe, being written
+NO_MEMORY_NOW = LocalResponse(503, "no room", closes_connection=False)
 DELIVERY_MARGIN_US = 5_000  # an answer must reach the caller by the deadline, not only be sent by then
 NEW_CONNECTION_GRACE_US = 500_000  # for the first request of a new connection during a planned stop
 REASON_PHRASES = {
@@ -92,6 +97,12 @@
         return 0
 
 
+def body_stream_of(answer: Answer | None) -> BodyStream | None:
+    """The rest of a node's response that is forwarded while it arrives; None if there is none."""
+    response = answer.response if answer else None
+    return response.body_stream if isinstance(response, NodeResponse) else None
+
+
 class CallerConnection:
     """A caller's connection. One greenlet reads and parses requests, another serves them in order."""
 
@@ -100,7 +111,7 @@
         self.sock = sock
         self.idle_since = clock()  # when it was accepted or the last response was complete
         self.fresh = True  # no request has been served yet
-        self.buffered_bytes = 0  # this connection's share of HttpServer.bytes_held, without large bodies
+        self.buffered_bytes = 0  # this connection's share of the memory held, without large bodies
         self.read_ahead_buffer = ReadAheadBuffer()  # received while the reader was paused, not parsed yet
         # Of the request that is being received: when its head was complete, and the earliest time of its timeout.
         self.head_received_at = self.min_deadline = 0
@@ -109,13 +120,14 @@
         self.write_timer: Timer | None = None  # of the write in progress
         self.parser = RequestParser(
             needs_digest=http_server.needs_digest,
-            count_bytes=http_server.count_bytes,
+            count_bytes=http_server.memory.count,
             keeps_header=http_server.keeps_header,
         )
         self.requests: Queue[ReceivedRequest | LocalResponse] = Queue(MAX_QUEUED_REQUESTS)
         self.job: Job | None = None
         self.result: AsyncResult[Answer] = AsyncResult()
         self.response_stream: BodyStream | None = None  # of a large response that is being forwarded
+        self.answer_bytes = 0  # of the answer that is being written, as they are counted
         self.serving = False  # a request was taken from the queue and is not answered yet
         self.closed = False
         self._set_timeout(self.idle_since + FIRST_BYTE_TIMEOUT_US, self._on_idle_timeout)
@@ -136,9 +148,12 @@
         """Takes the final answer of a job; the handler greenlet writes it."""
         # An answer for a request that has already ended here must not answer the next one.
         is_current = job is self.job
-        if (self.closed or not is_current) and answer.response and answer.response.body_stream:
-            answer.response.body_stream.close()
+        if (self.closed or not is_current) and (body_stream := body_stream_of(answer)):
+            body_stream.close()
         if is_current:
+            if isinstance(answer.response, NodeResponse) and not self.closed:
+                is_streamed = answer.response.body_stream is not None
+                self._count_answer(STREAM_BYTES if is_streamed else len(answer.response.body))
             self.result.set(answer)
 
     def close(self) -> None:
@@ -149,14 +164,9 @@
         self._set_timeout()
         if self.response_stream:
             self.response_stream.close()
-        elif (
-            self.result.ready()
-            and (answer := self.result.get())
-            and answer.response
-            and answer.response.body_stream
-        ):
-            answer.response.body_stream.close()  # received, but forwarding had not begun
-        self.http_server.count_bytes(-self.buffered_bytes)
+        elif self.result.ready() and (body_stream := body_stream_of(self.result.get())):
+            body_stream.close()  # received, but forwarding had not begun
+        self.http_server.memory.count(-self.buffered_bytes)
         self.http_server.bytes_read_ahead -= len(self.read_ahead_buffer)
         self.buffered_bytes = 0
         self.read_ahead_buffer.clear()
@@ -215,7 +225,7 @@
             is_full = (
                 len(self.read_ahead_buffer) >= MAX_READ_AHEAD_BYTES
                 or self.http_server.bytes_read_ahead
-                >= self.http_server.memory_limit // READ_AHEAD_MEMORY_DIVISOR
+                >= self.http_server.memory.limit // READ_AHEAD_MEMORY_DIVISOR
             )
             if (
                 self.closed
@@ -225,7 +235,7 @@
                 or not self._readable
             ):
                 return
-            chunk = self.sock.recv(READ_CHUNK_BYTES)
+            chunk = self.sock.recv(self.http_server.memory.read_size)
             if not chunk:
                 return
             if not self.parser.error:  # after an error nothing more is read
@@ -235,14 +245,14 @@
         self.read_ahead_buffer.append(data, received_at)
         self.http_server.bytes_read_ahead += len(data)
         self.buffered_bytes += len(data)
-        self.http_server.count_bytes(len(data))
+        self.http_server.memory.count(len(data))
 
     def _receive(self) -> tuple[bytes, int]:
         """The next bytes from the caller, those received earlier first, and when they were received. They are few where
         they may hold several requests."""
         wanted_bytes = self.parser.wanted_bytes
         if not self.read_ahead_buffer:
-            data, received_at = bytes(self.sock.recv(READ_CHUNK_BYTES)), clock()
+            data, received_at = bytes(self.sock.recv(self.http_server.memory.read_size)), clock()
             if len(data) <= wanted_bytes:
                 return data, received_at
             self._buffer(data, received_at)
@@ -298,21 +308,27 @@
         requests = [self.current, *self.requests.queue, *self.parser.parsed]
         received_bodies = [request.body for request in requests if isinstance(request, ReceivedRequest)]
         buffered_bytes += sum(len(body) for body in received_bodies if isinstance(body, bytes))
-        buffered_bytes += len(self.read_ahead_buffer)
-        self.http_server.count_bytes(buffered_bytes - self.buffered_bytes)
+        buffered_bytes += len(received_bodies) * PARSED_REQUEST_BYTES
+        buffered_bytes += len(self.read_ahead_buffer) + self.answer_bytes
+        self.http_server.memory.count(buffered_bytes - self.buffered_bytes)
         self.buffered_bytes = buffered_bytes
-        if (
-            self.http_server.bytes_held > self.http_server.memory_limit
-            and self.parser.in_request
-            and not self.parser.error
-        ):
-            log_event(
-                "memory",
-                f"memory limit: rejected a request of {max(self.parser.bytes_read, self.parser.declared_length)} bytes",
-                "warning",
-            )
-            self.parser.reject(NO_MEMORY)
-            self._update_buffered_bytes()
+        if self.http_server.memory.full:
+            self._reject_for_memory()
+
+    def _reject_for_memory(self) -> None:
+        """Rejects the request that is being received, if there is one."""
+        if self.parser.error or not self.parser.in_request:
+            return
+        size = max(self.parser.bytes_read, self.parser.declared_length)
+        log_event("memory", f"memory limit: rejected a request of {size} bytes", "warning")
+        self.parser.reject(NO_MEMORY)
+        self._update_buffered_bytes()
+
+    def _count_answer(self, size: int) -> None:
+        """Counts the memory of the answer to the current request, in bytes; 0: it is written."""
+        self.http_server.memory.count(size - self.answer_bytes)
+        self.buffered_bytes += size - self.answer_bytes
+        self.answer_bytes = size
 
     def _wait_for_memory(self) -> None:
         """Waits until there is memory for a whole large body before more of it is read, first come, first served. For a
@@ -323,13 +339,16 @@
         )
         large_body = self.parser.large_body
         reserved_bytes = large_body.reserved if large_body is not None else 0
-        limit = self.http_server.memory_limit - self.http_server.memory_limit // SMALL_REQUEST_MEMORY_DIVISOR
+        memory = self.http_server.memory
+        limit = memory.large_limit
         if (
             required_bytes <= reserved_bytes
             or required_bytes > limit
-            or self.http_server.bytes_held - reserved_bytes + required_bytes <= limit
+            or memory.held - reserved_bytes + required_bytes <= limit
         ):
             return
+        if memory.short:  # by what others that wait have received already
+            return self._reject_for_memory()
         self._set_timeout()  # the delay is on this side
         self.http_server.memory_waiters.append(self)
         try:
@@ -337,7 +356,7 @@
             with self._reader_paused(), gevent.Timeout(MEMORY_WAIT_TIMEOUT_US / 1e6, False):  # type: ignore[arg-type]
                 while (
                     self.http_server.memory_waiters[0] is not self
-                    or self.http_server.bytes_held - reserved_bytes + required_bytes > limit
+                    or memory.held - reserved_bytes + required_bytes > limit
                 ):
                     self.http_server.memory_released.clear()
                     self.http_server.memory_released.wait()
@@ -471,6 +490,7 @@
             self._stream_response(head.encode("latin-1"), streamed_response, chunked)
         self.serving = self.fresh = False
         self.current = None
+        self._count_answer(0)
         self.idle_since = clock()
         self.http_server.mark_idle(self)
         self._update_buffered_bytes()
@@ -528,6 +548,8 @@
     def _run_job(
         self, request: ReceivedRequest, cls: int, tenant: int, deadline: int
     ) -> Answer | LocalResponse:
+        if self.http_server.memory.exhausted:
+            return NO_MEMORY_NOW
         headers = request.headers
         forwarded_headers = tuple(
             (name.title(), headers[name]) for name in FORWARDED_HEADERS if name in headers
@@ -628,15 +650,15 @@
     """The listener and all callers' connections."""
 
     def __init__(
-        self, config: ProxyConfig, dispatcher: DispatcherDriver, max_connections: int, memory_limit: int
+        self, config: ProxyConfig, dispatcher: DispatcherDriver, max_connections: int, memory: MemoryBudget
     ) -> None:
         self.config = config
         self.dispatcher = dispatcher
         self.max_connections = max_connections
-        self.memory_limit = memory_limit  # in bytes, of all requests held
-        self.bytes_held = 0
-        self.bytes_read_ahead = 0  # of these, read ahead and not parsed yet
+        self.memory = memory
+        self.bytes_read_ahead = 0  # of the bytes held, those that are read ahead and not parsed yet
         self.memory_released = Event()
+        memory.on_release = self.memory_released.set
         self.memory_waiters: deque[CallerConnection] = deque()  # connections that wait for memory, in order
         self.paused_readers: set[CallerConnection] = set()  # connections whose reader is paused
         self.reader_paused = Event()
@@ -661,12 +683,6 @@
         self.disconnect_greenlet = gevent.spawn(self._disconnect_loop)
         self.acceptor = gevent.spawn(self._accept_loop)
 
-    def count_bytes(self, change: int) -> None:
-        """Adds to the count of bytes held, and wakes connections that wait for memory if some was released."""
-        self.bytes_held += change
-        if change < 0:
-            self.memory_released.set()
-
     def mark_reader_paused(self, connection: CallerConnection) -> None:
         """Includes a connection whose reader stops reading in the disconnect checks."""
         self.paused_readers.add(connection)
@@ -707,7 +723,7 @@
         listener replaces the old one, whose accept queue is emptied first."""
         self.config = config
         self.max_connections = max_connections
-        self.memory_limit = memory_limit
+        self.memory.limit = memory_limit
         if listener:
             self.acceptor.kill()
             if not self.handover.active:
--- a/slatehub/nodes/http1.py
+++ b/slatehub/nodes/http1.py
@@ -9,6 +9,7 @@
 
 import errno
 import math
+import sys
 from random import Random
 
 import gevent
@@ -17,6 +18,7 @@
 
 from ..core.jobs import Attempt, NodeResponse
 from ..core.limits import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, RESOURCE_EXHAUSTED_ERRNOS
+from ..core.memory import MemoryBudget
 from ..decisions.connection_reuse import newest_reusable, reusable_at, reuse_wait_us
 from ..decisions.pacing import ConnectLimiter, ConnectLimiterConfig
 from ..drivers.clock import Timer, clock
@@ -57,9 +59,16 @@
 class NodePool:
     """The nodes, the connections to them, and the interface through which the dispatcher sends attempts."""
 
-    def __init__(self, config: ProxyConfig, dispatcher: DispatcherDriver, max_connections: int) -> None:
+    def __init__(
+        self,
+        config: ProxyConfig,
+        dispatcher: DispatcherDriver,
+        max_connections: int,
+        memory: MemoryBudget | None = None,
+    ) -> None:
         self.config = config
         self.dispatcher = dispatcher
+        self.memory = memory or MemoryBudget(sys.maxsize)
         self.max_connections = max_connections
         self.open_connections = 0
         self.nodes: dict[int, PooledNode] = {}
@@ -286,9 +295,22 @@
         connection = self._send_request(node)
         if connection is None:
             return self.stop(Status.MOOT)
-        response = connection.read(MAX_BUFFERED_BODY_BYTES, lambda: self.stop(Status.ERROR), MAX_BODY_BYTES)
-        if response.streamed:
-            return self._stream_response(node, connection, response)
+        response = connection.read(
+            MAX_BUFFERED_BODY_BYTES, lambda: self.stop(Status.ERROR), MAX_BODY_BYTES, pool.memory
+        )
+        try:
+            if response.streamed:
+                self._stream_response(node, connection, response)
+            else:
+                self._deliver_response(node, connection, response)
+        finally:
+            response.release()
+
+    def _deliver_response(
+        self, node: PooledNode, connection: UpstreamConnection, response: UpstreamResponse
+    ) -> None:
+        """Reports a response that has arrived whole."""
+        pool, attempt = self.pool, self.attempt
         report = pool.parse_load_report(response.headers.get("x-server-load", ""))
         if response.has_excess_data:
             pool.log_unsolicited_data(node)
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -69,7 +69,7 @@
                 del connection
                 caller.close()
                 with gevent.Timeout(20):
-                    while http_server.bytes_held or pool.open_connections:
+                    while http_server.memory.held or pool.open_connections:
                         gevent.sleep(0.001)
                 run = [o for o in gc.get_objects() if type(o) in kinds]
                 assert not [type(o) for o in run if not any(o is x for x in others)]
@@ -92,9 +92,9 @@
             gevent.sleep(0.001)
         connection.close()
         gevent.sleep(0.01)
-        assert http_server.bytes_held >= MEGABYTE
+        assert http_server.memory.held >= MEGABYTE
         rig.driver.attempt_ended(rig.attempts.pop(), Status.CANCELLED)
-        while http_server.bytes_held:
+        while http_server.memory.held:
             gevent.sleep(0.001)
     caller.close()
 
--- a/tests/test_error_paths.py
+++ b/tests/test_error_paths.py
@@ -155,7 +155,7 @@
         caller.recv(10) == b""
         and connection.closed
         and not http_server.connections
-        and http_server.bytes_held == 0
+        and http_server.memory.held == 0
     )
 
 
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -29,6 +29,7 @@
 )
 from slatehub.core.dispatcher import Dispatcher
 from slatehub.core.jobs import Answer, AnswerStatus, Attempt, Job, NodeRequest, NodeResponse
+from slatehub.core.memory import MemoryBudget
 from slatehub.decisions.resource_budget import split_budget
 from slatehub.decisions.stall import StallDetector
 from slatehub.discovery import node_list
@@ -415,7 +416,7 @@
     config: Any = SimpleNamespace(
         settings=Settings((kind,)), classes={"orders": 0}, accounts={}, operator=OperatorConfig()
     )
-    http_server = HttpServer(config, rig.driver, max_connections, memory_limit)
+    http_server = HttpServer(config, rig.driver, max_connections, MemoryBudget(memory_limit))
     # As `start` does; without it the server would count as stalled.
     http_server.stall_detector = StallDetector(clock())
     return http_server
@@ -450,7 +451,7 @@
         caller, connection = connect_caller(http_server, request_head("a", 3) + b"abc")
         rig.driver.attempt_ended(rig.attempts.pop(), Status.OK, (), NodeResponse(b"print", ""))
         run_event_loop()
-        assert caller.recv(1000).endswith(b"print") and http_server.bytes_held == 0
+        assert caller.recv(1000).endswith(b"print") and http_server.memory.held == 0
         rig.answers.clear()
 
         def remaining() -> list[type]:
@@ -506,7 +507,7 @@
         while "a" not in rig.driver.job_table.by_request_id:
             gevent.sleep(0.005)
         first.close()
-        while http_server.bytes_held or http_server.connections:
+        while http_server.memory.held or http_server.connections:
             gevent.sleep(0.005)
 
 
@@ -651,7 +652,7 @@
 def test_an_answer_to_a_request_that_has_ended_here_never_answers_the_next_one() -> None:
     http_server: Any = SimpleNamespace(
         dispatcher=SimpleNamespace(caller_disconnected=lambda job: None),
-        count_bytes=lambda change: None,
+        memory=MemoryBudget(1_000_000),
         bytes_read_ahead=0,
         needs_digest=lambda headers: False,
         keeps_header=lambda name: True,
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -140,11 +140,11 @@
         writer = gevent.spawn(send_in_pieces, caller, pieces, rng.choice([0, 0.001, 0.03]))
         reader = gevent.spawn(read_answers, caller, len(names))
         while not reader.ready():
-            peak = max(peak, running.http_server.bytes_held)
+            peak = max(peak, running.http_server.memory.held)
             gevent.sleep(0.005)
         writer.join()
         assert reader.get() == [(200, name) for name in names]
-        assert peak <= MEMORY_LIMIT_BYTES and running.http_server.bytes_held == 0
+        assert peak <= MEMORY_LIMIT_BYTES and running.http_server.memory.held == 0
 
 
 def test_requests_that_came_with_the_last_ones_of_a_drain_are_answered() -> None:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -90,7 +90,7 @@
     http_server = make_server(DispatcherRig())
     caller, connection = connect_caller(http_server, b"")
     run_event_loop()
-    http_server.memory_limit = 160_000 if bound == "all connections" else 10_000_000
+    http_server.memory.limit = 160_000 if bound == "all connections" else 10_000_000
     if bound == "one connection":
         monkeypatch.setattr(server, "MAX_READ_AHEAD_BYTES", 40_000)
     limit = 40_000 + server.READ_CHUNK_BYTES
@@ -107,12 +107,12 @@
         40_000
         <= len(connection.read_ahead_buffer)
         == http_server.bytes_read_ahead
-        == http_server.bytes_held
+        == http_server.memory.held
         < limit
     )
     connection.job = None
     connection.close()
-    assert http_server.bytes_read_ahead == http_server.bytes_held == 0
+    assert http_server.bytes_read_ahead == http_server.memory.held == 0
     caller.close()
 
 
