Requests with more behind them than may be read ahead are refused

Cause: at most 4 MB of a connection, and a quarter of the memory for requests of all, are read ahead. The FIN lies behind what the caller's system could not send yet, so that nothing shows it until the rest is read; meanwhile one request after the other was begun. What lay unread got its whole time when it was read.

Change: before a request is begun, all that was sent behind it is received. Where that is more than may be read ahead, the request is refused at once, with a log line that says so; those behind it move up until the rest fits. A close that is seen there closes the connection. The time of what was left unread counts from when it was left.

Limit: a further attempt of a request that was begun before the rest came is not held back.

--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -66,7 +66,8 @@
 # Interval between checks for disconnected callers while their connections are not read. No attempt may begin later than
 # 0.1 s after the caller disconnected.
 DISCONNECT_CHECK_INTERVAL_S = 0.03
-# Limit of read-ahead per connection. A close that follows more bytes than this is not detected until they are read.
+# Limit of read-ahead per connection. A close that follows more bytes than this could not be detected, so that requests
+# with more than this behind them are refused.
 MAX_READ_AHEAD_BYTES = 4 * 1024 * 1024
 READ_AHEAD_MEMORY_DIVISOR = 4  # one part in so many of the memory limit is available for all read-ahead
 MAX_READ_AHEAD_CHUNKS = 64  # per call, so that a caller that sends without pause does not block the others
@@ -76,7 +77,7 @@
 STREAM_BYTES = (
     3 * READ_CHUNK_BYTES
 )  # of a large answer that is being forwarded: received, in the pipe, being written
-NO_MEMORY_NOW = LocalResponse(503, "no room", closes_connection=False)
+REFUSED = LocalResponse(503, "refused", closes_connection=False)
 DELIVERY_MARGIN_US = 5_000  # an answer must reach the caller by the deadline, not only be sent by then
 NEW_CONNECTION_GRACE_US = 500_000  # for the first request of a new connection during a planned stop
 REASON_PHRASES = {
@@ -112,7 +113,9 @@
         self.idle_since = clock()  # when it was accepted or the last response was complete
         self.fresh = True  # no request has been served yet
         self.buffered_bytes = 0  # this connection's share of the memory held, without large bodies
-        self.read_ahead_buffer = ReadAheadBuffer()  # received while the reader was paused, not parsed yet
+        self.read_ahead_buffer = ReadAheadBuffer()  # received and not parsed yet
+        # Since when input has been left in the socket, in microseconds; 0: all that had come was received.
+        self.unread_since = 0
         # Of the request that is being received: when its head was complete, and the earliest time of its timeout.
         self.head_received_at = self.min_deadline = 0
         self.current: ReceivedRequest | LocalResponse | None = None  # being served
@@ -202,8 +205,11 @@
         """Whether the caller closed or reset the connection while one of its jobs is unanswered, even if unread bytes
         precede the close. A caller that shut down only its sending side counts as disconnected too, because the two
         cases cannot be told apart."""
-        if self.job is None or self.closed:
-            return False
+        return self.job is not None and not self.closed and self._has_peer_closed
+
+    @property
+    def _has_peer_closed(self) -> bool:
+        """Whether the caller's FIN or reset has arrived, perhaps behind unread bytes."""
         poll = select.poll()
         poll.register(self.sock.fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
@@ -222,24 +228,39 @@
         """Receives bytes without parsing them while the reader is paused. With a full kernel buffer the caller's FIN
         could not arrive. Does nothing while a large body waits for memory."""
         for _ in range(MAX_READ_AHEAD_CHUNKS):
-            is_full = (
-                len(self.read_ahead_buffer) >= MAX_READ_AHEAD_BYTES
-                or self.http_server.bytes_read_ahead
-                >= self.http_server.memory.limit // READ_AHEAD_MEMORY_DIVISOR
-            )
-            if (
-                self.closed
-                or self.job is None
-                or self in self.http_server.memory_waiters
-                or is_full
-                or not self._readable
-            ):
+            if self.closed or self.job is None or not self._read_chunk_ahead():
                 return
-            chunk = self.sock.recv(self.http_server.memory.read_size)
-            if not chunk:
-                return
-            if not self.parser.error:  # after an error nothing more is read
-                self._buffer(chunk, clock())
+
+    def _read_chunk_ahead(self) -> bool:
+        """Receives one chunk for the read-ahead buffer, if there is one and room for it. Returns whether it did."""
+        if not self._readable:
+            self.unread_since = 0
+            return False
+        memory = self.http_server.memory
+        is_full = (
+            len(self.read_ahead_buffer) >= MAX_READ_AHEAD_BYTES
+            or self.http_server.bytes_read_ahead >= memory.limit // READ_AHEAD_MEMORY_DIVISOR
+        )
+        if is_full or self in self.http_server.memory_waiters:
+            self.unread_since = self.unread_since or clock()
+            return False
+        chunk = self.sock.recv(memory.read_size)
+        if chunk and not self.parser.error:  # after an error nothing more is read
+            self._buffer(chunk, self.unread_since or clock())
+        return bool(chunk)
+
+    def _would_notice_close(self) -> bool:
+        """Receives what the caller has sent behind the current request, as far as it may be read ahead. Returns whether
+        a close by the caller could be noticed now; if so, and it has closed, the connection is closed."""
+        try:
+            while self in self.http_server.paused_readers and self._read_chunk_ahead():
+                gevent.sleep(0)  # the others must not wait until much has been read
+            has_closed = self.closed or self in self.http_server.paused_readers and self._has_peer_closed
+        except OSError:  # reset
+            has_closed = True
+        if has_closed:
+            self.close()
+        return not has_closed and not self.unread_since
 
     def _buffer(self, data: bytes, received_at: int) -> None:
         self.read_ahead_buffer.append(data, received_at)
@@ -252,7 +273,10 @@
         they may hold several requests."""
         wanted_bytes = self.parser.wanted_bytes
         if not self.read_ahead_buffer:
-            data, received_at = bytes(self.sock.recv(self.http_server.memory.read_size)), clock()
+            read_size = self.http_server.memory.read_size
+            data, received_at = bytes(self.sock.recv(read_size)), self.unread_since or clock()
+            if len(data) < read_size:
+                self.unread_since = 0
             if len(data) <= wanted_bytes:
                 return data, received_at
             self._buffer(data, received_at)
@@ -549,7 +573,9 @@
         self, request: ReceivedRequest, cls: int, tenant: int, deadline: int
     ) -> Answer | LocalResponse:
         if self.http_server.memory.exhausted:
-            return NO_MEMORY_NOW
+            return self._refuse(request, "no memory is left")
+        if not self._would_notice_close():
+            return self._refuse(request, "more was sent behind it than may be read ahead")
         headers = request.headers
         forwarded_headers = tuple(
             (name.title(), headers[name]) for name in FORWARDED_HEADERS if name in headers
@@ -586,6 +612,11 @@
         assert answer is not None  # waits without a timeout; the dispatcher answers every job by its deadline
         return answer
 
+    @staticmethod
+    def _refuse(request: ReceivedRequest, reason: str) -> LocalResponse:
+        log_event("callers", f"request refused: {reason}", request=request.headers["x-request-id"])
+        return REFUSED
+
     def _format_answer(self, answer: Answer) -> tuple[int, str, bytes, str, NodeResponse | None]:
         status = answer.status
         if status is AnswerStatus.SERVED and not isinstance(answer.response, NodeResponse):
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -14,7 +14,7 @@
 import pytest
 from gevent import socket
 from proxy_rig import ScriptedNode, build_request, running_proxy
-from test_line import DispatcherRig, make_server
+from test_line import DispatcherRig, make_server, open_listener
 
 from paddlestep.interface import Entry, ListKind, Status
 from slatehub.core.jobs import Job, NodeResponse
@@ -186,6 +186,66 @@
     assert max(deadlines) - min(deadlines) < 300_000
 
 
+@contextmanager
+def narrow_connection(running: Service) -> Iterator[Any]:
+    """A caller over TCP whose bytes stay in its own system once 8 kB of them wait at the server."""
+    with open_listener() as listener, socket.socket() as caller:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 * 1024)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+        caller.connect(listener.getsockname())
+        sock, _ = listener.accept()
+        running.http_server.connections[CallerConnection(running.http_server, sock)] = None
+        yield caller
+
+
+@pytest.mark.parametrize("resets", [False, True])
+def test_nothing_is_begun_for_a_caller_that_left_behind_more_than_is_read_ahead(
+    monkeypatch: pytest.MonkeyPatch, resets: bool
+) -> None:
+    """Its close was noticed only once what lay before it had been read."""
+    monkeypatch.setattr(server, "MAX_READ_AHEAD_BYTES", 40_000)
+    orders = b"".join(order(f"order-{number}", 3_000) for number in range(60))
+    with service(node_time_s=0.2) as running, narrow_connection(running) as caller:
+        caller.sendall(orders)
+        gevent.sleep(0.1)
+        if resets:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, server.RESET_ON_CLOSE)
+        caller.close()
+        gevent.sleep(0.1)
+        begun = running.rig.driver.job_table.last_number
+        gevent.sleep(1.0)
+        assert running.rig.driver.job_table.last_number == begun <= 2
+
+
+def test_requests_with_more_behind_them_than_is_read_ahead_are_refused_and_the_last_ones_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(server, "MAX_READ_AHEAD_BYTES", 40_000)
+    orders = b"".join(order(f"order-{number}", 3_000) for number in range(60))
+    with service(node_time_s=0.02) as running, narrow_connection(running) as caller:
+        caller.sendall(orders)
+        answers = read_answers(caller, 60)
+    assert len(answers) == 60 and {status for status, _ in answers} == {200, 503}
+    # Those that fit into the read-ahead buffer and the kernel's are served.
+    assert answers[-10:] == [(200, f"order-{number}") for number in range(50, 60)]
+
+
+def test_the_time_of_input_that_lay_unread_counts_from_when_it_was_left_there(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(server, "MAX_READ_AHEAD_BYTES", 40_000)
+    sent_behind = b"".join(order(f"order-{number}", 3_000, timeout_ms=250) for number in range(60))
+    with service(node_time_s=0.5) as running, narrow_connection(running) as caller:
+        began_at = clock()
+        caller.sendall(order("first"))
+        gevent.sleep(0.05)
+        caller.sendall(sent_behind)
+        answers = read_answers(caller, 61)
+        elapsed_us = clock() - began_at
+    assert [body for status, body in answers if status == 200] == ["first"]
+    assert elapsed_us < 650_000
+
+
 class SlowNode(ScriptedNode):
     """Takes 10 ms for each request."""
 
