An id that may have run is not sent again, here or at the other process of an upgrade

Cause: an id was known only until its answer, or until its client left; the attempt at the node went on. Two processes of an upgrade knew nothing of each other's ids.

One that comes again is told 409. A new process gets the ids with the state, and both tell each other of new ones over their link without waiting; an older version ignores them.

--- a/slatehub/cli/process.py
+++ b/slatehub/cli/process.py
@@ -10,6 +10,7 @@
 from ..discovery.node_list import NodeList
 from ..fronts.http1.server import HttpServer
 from ..handover.hot_restart import HotRestart, InheritedState
+from ..handover.messages import SENT_IDS
 from ..mgmt.operations import Operations
 from ..mgmt.server import AdminServer
 from ..mgmt.state import StateFile
@@ -34,8 +35,10 @@
             http_server,
             node_pool,
         )
+        self.recent_requests = http_server.dispatcher.job_table.recent
         self.state = StateFile(http_server.config.name)
         self.hot_restart = HotRestart(http_server.config.name, http_server.config.listen, self)
+        self.recent_requests.on_added = self.hot_restart.announce_sent_id
         self.operations = Operations(
             maintenance, self.state, node_list, http_server, self.hot_restart.forward_operation,
             peers.status, copies.status, copies.change_voters, copies.set_node_out,
@@ -63,6 +66,8 @@
             self.maintenance.restore(*saved)  # type: ignore[arg-type]  # checked in the line before
         else:
             self.state.load(self.maintenance)
+        if inherited and isinstance(ids := inherited.state.get(SENT_IDS), list):
+            self.merge_sent_ids(ids)
         return inherited
 
     def take_over(self, inherited: InheritedState | None) -> None:
@@ -77,8 +82,13 @@
             "out": self.maintenance.started_at,
             "back": dict(self.maintenance.ended_at),
             "drained": self.http_server.drain.active,
+            SENT_IDS: self.recent_requests.ids(),
         }
 
+    def merge_sent_ids(self, request_ids: list[Any]) -> None:
+        """Remembers the ids of requests that the other process has sent and that must not run twice."""
+        self.recent_requests.merge(x for x in request_ids if isinstance(x, str))
+
     def get_listener(self, listen: Any) -> Any:
         """The callers' listener if it is bound to this address; else None."""
         is_current = (
--- a/slatehub/core/dispatcher.py
+++ b/slatehub/core/dispatcher.py
@@ -15,6 +15,7 @@
     Action,
     Cancel,
     ClientGone,
+    Effect,
     Entry,
     Event,
     Fail,
@@ -102,11 +103,14 @@
         self.admit = Admit(self.recovery)
         self.route = Route(self.job_table)
         self.hold_for_intent = HoldForIntent(self._emit)
-        self.start_sending = StartSending(self._emit)
+        self.start_sending = StartSending(self._emit, self.job_table, self._runs_once)
         self.advise = Advise(self.recovery)
         self.relay = Relay(self.job_table, self.advise, self._emit)
         self.record_outcome = RecordOutcome(self.job_table)
 
+    def _runs_once(self, job: Job) -> bool:
+        return self.settings.classes[job.cls].effect is Effect.UNSAFE
+
     # ------------------------------------------------------------ commands out
 
     def _emit(self, command: Command) -> None:
--- a/slatehub/core/jobs.py
+++ b/slatehub/core/jobs.py
@@ -71,7 +71,7 @@
     __slots__ = (
         "tenant", "answered", "attempts", "cls", "deadline", "came_early", "came_on_time", "fingerprint",
         "max_attempts", "request_id", "number", "request", "intent_register", "is_retry", "responder",
-        "claim_token", "content_digest",
+        "claim_token", "content_digest", "may_have_run",
     )  # fmt: skip
 
     def __init__(
@@ -97,6 +97,7 @@
         self.max_attempts = 1  # attempts that the settings allow for it
         self.attempts: list[Attempt] = []
         self.answered = False
+        self.may_have_run = False  # an attempt has ended without proof that the request has not run
 
 
 class Attempt:
--- a/slatehub/core/stages.py
+++ b/slatehub/core/stages.py
@@ -11,6 +11,7 @@
 
 from .commands import Command, DeliverAnswer, PersistIntent, StartAttempt
 from .jobs import Answer, AnswerStatus, Attempt, Job
+from .recent_requests import RecentRequests
 from .recovery import Recovery
 
 Emit = Callable[[Command], None]
@@ -22,6 +23,7 @@
     def __init__(self) -> None:
         self.jobs: dict[int, Job] = {}
         self.by_request_id: dict[str, Job] = {}
+        self.recent = RecentRequests()
         self.last_number = 0
         # Heap of (deadline, number). Answered jobs are removed when they reach the top.
         self.deadlines: list[tuple[int, int]] = []
@@ -64,7 +66,8 @@
 
 class RegisterJob:
     """First stage: adds a job to the table. Returns False if its request id is already in use: the nodes
-    could not tell two jobs with one id apart."""
+    could not tell two jobs with one id apart. The same holds for one that must not run twice and may have
+    run, whether or not its caller has waited for the answer."""
 
     def __init__(self, job_table: JobTable, max_attempts: int) -> None:
         self.job_table = job_table
@@ -72,7 +75,7 @@
         self.max_attempts = max_attempts
 
     def __call__(self, job: Job) -> bool:
-        if job.request_id in self.job_table.by_request_id:
+        if job.request_id in self.job_table.by_request_id or job.request_id in self.job_table.recent:
             return False
         job.max_attempts = self.max_attempts
         self.job_table.add(job)
@@ -137,12 +140,17 @@
 
 
 class StartSending:
-    """Fourth stage: hands the attempt to the transport, which reports its end on its own."""
+    """Fourth stage: hands the attempt to the transport, which reports its end on its own. The id of a request
+    that must not run twice (`runs_once`) is remembered from here on."""
 
-    def __init__(self, emit: Emit) -> None:
+    def __init__(self, emit: Emit, job_table: JobTable, runs_once: Callable[[Job], bool]) -> None:
         self.emit = emit
+        self.job_table = job_table
+        self.runs_once = runs_once
 
     def __call__(self, attempt: Attempt) -> None:
+        if self.runs_once(attempt.job):
+            self.job_table.recent.add(attempt.job.request_id)
         self.emit(StartAttempt(attempt))
 
 
@@ -191,6 +199,7 @@
         attempt.finished = True
         attempt.exchange = None
         job = attempt.job
+        job.may_have_run = job.may_have_run or not status.never_ran
         self.close(job)
         elapsed_us = max(0, now - attempt.sent_at)
         return Outcome(job.number, attempt.number, attempt.endpoint, status, elapsed_us, job.answered, report)
@@ -199,5 +208,7 @@
         """Removes an answered job from the table once all its attempts have ended."""
         if job.answered and all(a.finished for a in job.attempts):
             self.job_table.jobs.pop(job.number, None)
+            if not job.may_have_run:
+                self.job_table.recent.discard(job.request_id)
             # Each attempt refers to the job: the cycle would keep its body until the garbage collector runs.
             job.attempts = []
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -605,7 +605,7 @@
         self.job = job  # before submit(), which may answer it immediately
         if not self.http_server.dispatcher.submit(job):
             self.job = None
-            return LocalResponse(409, "this X-Request-ID is still in hand", closes_connection=False)
+            return LocalResponse(409, "this X-Request-ID is in use or was used", closes_connection=False)
         answer = self.result.get()
         self.job = None
         self.result = AsyncResult()  # the old one keeps the answer alive
--- a/slatehub/handover/hot_restart.py
+++ b/slatehub/handover/hot_restart.py
@@ -15,7 +15,7 @@
 
 from ..observe.log import log_event
 from .link import ProcessLink, Tree
-from .messages import VERSION, MessageDecoder, MessageError, pack
+from .messages import SENT_IDS, VERSION, MessageDecoder, MessageError, pack
 from .paths import shared_path
 
 HANDSHAKE_TIMEOUT_S = 1.5  # for the old process to answer; its event loop may be busy
@@ -36,6 +36,9 @@
     def apply_operation(self, message: Tree) -> int:
         """Applies an operation that the other process received from an operator; returns the HTTP status."""
 
+    def merge_sent_ids(self, request_ids: list[Any]) -> None:
+        """Remembers the ids of requests that the other process has sent and that must not run twice."""
+
     def suspend(self) -> None:
         """Stops accepting: the successor has the listener."""
 
@@ -170,8 +173,13 @@
             else:
                 socket.send_fds(peer, [b"L"], [listener.fileno()])
             # From here on every operation is forwarded, so the state must be the one at the time the link opens.
-            peer.sendall(pack(self.handler.export_state()))
+            state = self.handler.export_state()
+            peer.sendall(pack(state))
         self.successor = ProcessLink(peer, decoder, messages[1:], self._handle_request, self._on_link_closed)
+        exported = set(state.get(SENT_IDS, ()))
+        self.successor.announce(
+            [x for x in self.handler.export_state().get(SENT_IDS, ()) if x not in exported]
+        )
         self.handler.set_shared(True)
         log_event("handover", "a new process takes over")
 
@@ -183,6 +191,9 @@
             self.handler.suspend()
             self._close_listener()
             return {"ok": True}
+        if isinstance(ids := message.get(SENT_IDS), list):
+            self.handler.merge_sent_ids(ids)
+            return {"ok": True}
         return {"status": self.handler.apply_operation(message)}
 
     def _on_link_closed(self, link: ProcessLink) -> None:
@@ -199,6 +210,12 @@
         if not self.is_connected:
             self.handler.set_shared(False)
 
+    def announce_sent_id(self, request_id: str) -> None:
+        """Tells the other process, if there is one, of a request that must not run twice and is being sent."""
+        for link in (self.predecessor, self.successor):
+            if link:
+                link.announce([request_id])
+
     def forward_operation(self, message: Tree) -> bool:
         """Whether the other process, if there is one, has applied the operation too. A 4xx answer counts: a process
         that does not know the node has nothing to apply."""
--- a/slatehub/handover/link.py
+++ b/slatehub/handover/link.py
@@ -11,9 +11,10 @@
 from gevent.lock import BoundedSemaphore
 
 from ..observe.log import error_location, log_event
-from .messages import MessageDecoder, MessageError, pack
+from .messages import SENT_IDS, MessageDecoder, MessageError, pack
 
 Tree = dict[str, Any]
+ANNOUNCE_TIMEOUT_S = 5.0  # for the peer to take a message; one that does not is gone or stopped
 
 
 class ProcessLink:
@@ -35,6 +36,8 @@
         self.open = True
         self.last_number = 0
         self.pending: dict[int, AsyncResult[Tree | None]] = {}
+        self.announced: list[str] = []  # ids of requests of which the peer is to be told
+        self.announcing = False
         self.send_lock = BoundedSemaphore()  # concurrent writes would interleave
         self.greenlet = gevent.spawn(self._read, early)
 
@@ -55,6 +58,24 @@
         finally:
             self.pending.pop(number, None)
 
+    def announce(self, request_ids: list[str]) -> None:
+        """Tells the peer of requests that must not run twice and are being sent. Does not wait; there is no reply."""
+        self.announced += request_ids
+        if self.open and not self.announcing:
+            self.announcing = True
+            gevent.spawn(self._send_announced)
+
+    def _send_announced(self) -> None:
+        try:
+            while self.announced:
+                message, self.announced = {SENT_IDS: self.announced}, []
+                with gevent.Timeout(ANNOUNCE_TIMEOUT_S):
+                    self._send(message)
+        except (gevent.Timeout, OSError):
+            self.close()
+        finally:
+            self.announcing = False
+
     def _send(self, message: Tree) -> None:
         with self.send_lock:
             self.sock.sendall(pack(message))
--- a/slatehub/handover/messages.py
+++ b/slatehub/handover/messages.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 VERSION = 1
+SENT_IDS = "sent"  # key of the ids of requests that must not run twice and may have run
 MAX_LINE_BYTES = 2 * 1024 * 1024  # fits as many node ids as may be in maintenance, each at its longest
 
 
