A long answer that a node writes slowly is forwarded as it comes, and not cut off

Cause: a response had 1.5 s from its first byte until it was whole or 16 kB of it (64 kB without a length) had come; slower nodes counted as stalled, their answer was dropped and the request tried anew. What had come was held back meanwhile.

Change: the time runs from the last thing the node has sent, for a head from its first byte. An answer that may be large is held back for 1 s at the most, and not beyond 0.5 s before the deadline of its attempt; a short one with a stated length is still collected whole. A node that falls silent is given up after 1.5 s as before.

--- a/slatehub/drivers/upstream.py
+++ b/slatehub/drivers/upstream.py
@@ -21,9 +21,14 @@
 from .clock import Timer, clock
 from .pipe import STALL_TIMEOUT_S
 
-RESPONSE_BODY_TIMEOUT_US = 1_500_000  # for the rest of a response once it has begun
+RESPONSE_HEAD_TIMEOUT_US = 1_500_000  # for the rest of a head once the response has begun
+RESPONSE_SILENCE_TIMEOUT_US = 1_500_000  # in which a response that has begun must go on
+HOLD_BACK_US = (
+    1_000_000  # how long the beginning of a response that may be large is kept before it is forwarded
+)
 WRITE_SLICE_BYTES = 256 * 1024  # of a request, passed to the socket in one call
 MAX_SINGLE_WRITE_BYTES = 16 * 1024  # on a new connection, a request up to this size is written in one step
+NEVER_US = sys.maxsize  # a moment that does not come, in microseconds
 LAST_BYTE_DELAY_S = 0.002  # before the last byte of a request on a reused connection
 
 
@@ -86,6 +91,9 @@
         self.has_excess_data = False  # the peer has sent more than this response
         self.declared_length: int | None = None  # Content-Length
         self.forwarded_bytes = 0  # of the body, removed by `take_body`
+        self.received_at = 0  # when the peer last sent something, microseconds
+        self.held_back_since = 0  # when the first part of the body came, microseconds; 0: none has come
+        self.held_back_long_enough = False  # the part that is here is to be forwarded
         self.ends_at_close = False  # no length: the body ends when the peer closes the connection
         self.keep_alive = False
 
@@ -95,11 +103,36 @@
         have arrived."""
         if self.complete or self.status != 200 or self.max_streamed_body == self.limit:
             return False
+        if self.held_back_long_enough:
+            return True
         limit = min(self.limit, READ_CHUNK_BYTES) if self.memory.short else self.limit
         return len(self.body) > limit or (
             (self.declared_length or 0) > limit and len(self.body) >= READ_CHUNK_BYTES
         )
 
+    @property
+    def may_be_large(self) -> bool:
+        """Whether part of the body has come, and the whole may be too large to be collected: its length is above the
+        limit or not known."""
+        if self.status != 200 or not self.body or self.max_streamed_body == self.limit:
+            return False
+        return self.declared_length is None or self.declared_length > self.limit
+
+    def note_progress(self, now: int, forward_by: int) -> None:
+        """Called after each part that the peer has sent. A body that may be large is not held back for longer than
+        HOLD_BACK_US, nor beyond `forward_by`: the peer may write it slowly. Times are microseconds."""
+        self.received_at = now
+        if self.body and not self.held_back_since:
+            self.held_back_since = now
+        is_due = now >= min(self.held_back_since + HOLD_BACK_US, forward_by)
+        self.held_back_long_enough = self.may_be_large and is_due
+
+    def stalls_at(self, began_at: int) -> int:
+        """When the response counts as stalled if nothing more comes, in microseconds. `began_at`: its first byte."""
+        if not self.has_final_head:
+            return began_at + RESPONSE_HEAD_TIMEOUT_US
+        return self.received_at + RESPONSE_SILENCE_TIMEOUT_US
+
     def take_body(self) -> bytes:
         """Removes and returns the part of the body that has arrived and has not been forwarded."""
         piece = bytes(self.body)
@@ -184,6 +217,39 @@
         return self.complete and self.keep_alive and not self.has_excess_data
 
 
+class StallWatch:
+    """Calls `on_stall` once if a response that has begun does not go on in time."""
+
+    def __init__(self, response: UpstreamResponse, on_stall: Callable[[], None]) -> None:
+        self.response = response
+        self.on_stall = on_stall
+        self.began_at = 0
+        self.timer: Timer | None = None
+
+    def note_progress(self) -> None:
+        """Called after each part that the peer has sent."""
+        if not self.response.started:
+            self.close()
+        elif not self.timer and not self.response.complete:
+            self.began_at = clock()
+            self._start()
+
+    def _start(self) -> None:
+        self.timer = Timer(self.response.stalls_at(self.began_at), self._check)
+
+    def _check(self) -> None:
+        if self.response.stalls_at(self.began_at) <= clock():
+            self.on_stall()
+        else:
+            self._start()
+
+    def close(self) -> None:
+        """Ends the watch."""
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+
+
 class UpstreamConnection:
     """One connection to one peer, with one request at a time. `state` is "fresh", "busy", "idle" or "closed".
     `on_close` is called once, when the connection is closed."""
@@ -256,23 +322,22 @@
         on_stall: Callable[[], None] | None = None,
         max_streamed_body: int = 0,
         memory: MemoryBudget | None = None,
+        forward_by: int = NEVER_US,
     ) -> UpstreamResponse:
         """Reads one response. If its body is larger than `limit` and `max_streamed_body` allows it (both in bytes),
-        only the beginning is read, and `read_body_chunk` returns the rest. `on_stall` is called if the rest of a
-        response does not arrive within RESPONSE_BODY_TIMEOUT_US of its beginning; a 1xx response does not start that
-        time. The body is counted in `memory` until the caller releases it. Raises OSError and UpstreamError, with
-        nothing counted."""
+        only the beginning is read, and `read_body_chunk` returns the rest; the same holds for one that may be larger
+        and comes slowly, by `forward_by` (microseconds) at the latest. `on_stall` is called if a response that has
+        begun does not go on (`UpstreamResponse.stalls_at`); a 1xx response does not start that time. The body is
+        counted in `memory` until the caller releases it. Raises OSError and UpstreamError, with nothing counted."""
         response = UpstreamResponse(limit, max_streamed_body, memory)
-        body_timer: Timer | None = None
+        watch = StallWatch(response, on_stall) if on_stall else None
         finished = False
         try:
             while not (response.complete or response.streamed):
                 self._receive(response)
-                if body_timer and not response.started:
-                    body_timer.cancel()
-                    body_timer = None
-                elif on_stall and response.started and not body_timer:
-                    body_timer = Timer(clock() + RESPONSE_BODY_TIMEOUT_US, on_stall)
+                response.note_progress(clock(), forward_by)
+                if watch:
+                    watch.note_progress()
             finished = True
         finally:
             if not finished:
@@ -280,8 +345,8 @@
             if not response.streamed:
                 # Breaks a reference cycle that would keep the body until a garbage collection.
                 response.parser = None
-            if body_timer:
-                body_timer.cancel()
+            if watch:
+                watch.close()
         return response
 
     def read_body_chunk(self, response: UpstreamResponse) -> bytes:
--- a/slatehub/nodes/http1.py
+++ b/slatehub/nodes/http1.py
@@ -41,6 +41,8 @@
 
 IDLE_CLOSE_MARGIN_US = 1_000_000  # an idle connection is closed this long before the node would close it
 RECENT_START_US = 10_000_000  # a node that started less than this ago counts as returned after a restart
+# So long before its deadline the beginning of a large response is forwarded, however slowly the rest comes.
+FORWARD_MARGIN_US = 500_000
 CONNECT_LOST_US = 5_000_000  # a handshake without a result for this long counts as failed
 
 
@@ -296,7 +298,11 @@
         if connection is None:
             return self.stop(Status.MOOT)
         response = connection.read(
-            MAX_BUFFERED_BODY_BYTES, lambda: self.stop(Status.ERROR), MAX_BODY_BYTES, pool.memory
+            MAX_BUFFERED_BODY_BYTES,
+            lambda: self.stop(Status.ERROR),
+            MAX_BODY_BYTES,
+            pool.memory,
+            attempt.deadline - FORWARD_MARGIN_US,
         )
         try:
             if response.streamed:
