An order that waits for memory is answered within its own time

Cause: a large body waits up to 10 s until there is memory for it. Its caller may have sent all of it by then, but its time counted from when the rest was read.

Change: it waits no longer than its own X-Timeout says. What is read without a pause after input was left in the socket counts as sent when that began, up to 10 MB, which is what the systems of both sides may hold (`ReceiptClock`; it replaces the plain time of the commit on read-ahead).

Limit: an answer without a length that turns out short is passed on as it comes, also beyond its time.

Tests: an order behind one that holds the memory was told 503 after 10 s, now within its 0.4 s; two for the clock.

--- a/slatehub/fronts/http1/request_parser.py
+++ b/slatehub/fronts/http1/request_parser.py
@@ -22,6 +22,7 @@
     LocalResponse,
     ReceivedRequest,
     body_hash,
+    parse_timeout_us,
     to_origin_form,
 )
 from .large_body import GROWTH_BYTES, CountBytes, LargeBody
@@ -76,6 +77,12 @@
         """Bytes of the body that have been received."""
         return len(self.body) if self.large_body is None else self.large_body.received
 
+    @property
+    def timeout_us(self) -> int:
+        """The time that the caller of the request being received waits for its answer, in microseconds; 0 if it does
+        not say so."""
+        return parse_timeout_us(self.headers.get("x-timeout", "")) or 0
+
     @property
     def wanted_bytes(self) -> int:
         """How many bytes should be fed at once: no more than belongs to one request, where that is known."""
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -47,6 +47,7 @@
     validate_request,
 )
 from .read_ahead import ReadAheadBuffer
+from .receipt_clock import ReceiptClock
 from .request_parser import NO_MEMORY, RequestParser
 
 FIRST_BYTE_TIMEOUT_US = 2_200_000  # until the first byte on a new connection
@@ -55,7 +56,7 @@
 UNREAD_INPUT_GRACE_US = 50_000  # for the reader to get to input that has come by the time of a timeout
 BODY_START_TIMEOUT_US = 1_000_000  # until the first byte of a body
 MIN_BODY_BYTES_PER_S = 48_000  # minimum average rate of a body after that
-MEMORY_WAIT_TIMEOUT_US = 10_000_000  # until a large body gets memory
+MEMORY_WAIT_TIMEOUT_US = 10_000_000  # until a large body gets memory, if its request has as much time
 KEEP_ALIVE_US = 10_000_000  # idle time between requests
 WRITE_WATCH_DELAY_US = 2_000_000  # after which a write that has not ended is watched for progress
 # How long a caller may take nothing of a response: at 64 kB a second, the lowest rate that callers are promised, until
@@ -114,8 +115,8 @@
         self.fresh = True  # no request has been served yet
         self.buffered_bytes = 0  # this connection's share of the memory held, without large bodies
         self.read_ahead_buffer = ReadAheadBuffer()  # received and not parsed yet
-        # Since when input has been left in the socket, in microseconds; 0: all that had come was received.
-        self.unread_since = 0
+        self.receipt_clock = ReceiptClock()
+        self.has_unread_input = False  # input was left in the socket: a close could lie behind it
         # Of the request that is being received: when its head was complete, and the earliest time of its timeout.
         self.head_received_at = self.min_deadline = 0
         self.current: ReceivedRequest | LocalResponse | None = None  # being served
@@ -234,7 +235,7 @@
     def _read_chunk_ahead(self) -> bool:
         """Receives one chunk for the read-ahead buffer, if there is one and room for it. Returns whether it did."""
         if not self._readable:
-            self.unread_since = 0
+            self.has_unread_input = False
             return False
         memory = self.http_server.memory
         is_full = (
@@ -242,11 +243,14 @@
             or self.http_server.bytes_read_ahead >= memory.limit // READ_AHEAD_MEMORY_DIVISOR
         )
         if is_full or self in self.http_server.memory_waiters:
-            self.unread_since = self.unread_since or clock()
+            self.has_unread_input = True
+            self.receipt_clock.left_unread(clock())
             return False
-        chunk = self.sock.recv(memory.read_size)
+        read_size = memory.read_size
+        chunk = self.sock.recv(read_size)
+        received_at = self.receipt_clock.received(len(chunk), clock(), len(chunk) < read_size)
         if chunk and not self.parser.error:  # after an error nothing more is read
-            self._buffer(chunk, self.unread_since or clock())
+            self._buffer(chunk, received_at)
         return bool(chunk)
 
     def _would_notice_close(self) -> bool:
@@ -260,7 +264,7 @@
             has_closed = True
         if has_closed:
             self.close()
-        return not has_closed and not self.unread_since
+        return not has_closed and not self.has_unread_input
 
     def _buffer(self, data: bytes, received_at: int) -> None:
         self.read_ahead_buffer.append(data, received_at)
@@ -274,9 +278,9 @@
         wanted_bytes = self.parser.wanted_bytes
         if not self.read_ahead_buffer:
             read_size = self.http_server.memory.read_size
-            data, received_at = bytes(self.sock.recv(read_size)), self.unread_since or clock()
-            if len(data) < read_size:
-                self.unread_since = 0
+            data = bytes(self.sock.recv(read_size))
+            self.has_unread_input = False
+            received_at = self.receipt_clock.received(len(data), clock(), len(data) < read_size)
             if len(data) <= wanted_bytes:
                 return data, received_at
             self._buffer(data, received_at)
@@ -357,7 +361,7 @@
     def _wait_for_memory(self) -> None:
         """Waits until there is memory for a whole large body before more of it is read, first come, first served. For a
         body without a length, waits until there is memory for what was received. Part of the memory is reserved for
-        small requests. After a timeout `_update_buffered_bytes` rejects the request."""
+        small requests. After a timeout `_update_buffered_bytes` rejects the request if it does not fit."""
         required_bytes = self.parser.declared_length or (
             self.parser.bytes_read if self.parser.bytes_read > MAX_MESSAGE_BYTES else 0
         )
@@ -375,9 +379,12 @@
             return self._reject_for_memory()
         self._set_timeout()  # the delay is on this side
         self.http_server.memory_waiters.append(self)
+        self.receipt_clock.left_unread(clock())
+        # All of the request may have been sent: its own time passes.
+        wait_us = min(MEMORY_WAIT_TIMEOUT_US, self.parser.timeout_us)
         try:
             # False: the timeout ends the block without an exception.
-            with self._reader_paused(), gevent.Timeout(MEMORY_WAIT_TIMEOUT_US / 1e6, False):  # type: ignore[arg-type]
+            with self._reader_paused(), gevent.Timeout(wait_us / 1e6, False):  # type: ignore[arg-type]
                 while (
                     self.http_server.memory_waiters[0] is not self
                     or memory.held - reserved_bytes + required_bytes > limit
--- a/slatehub/fronts/validation.py
+++ b/slatehub/fronts/validation.py
@@ -14,6 +14,7 @@
 
 VISIBLE_ASCII = re.compile(r"[!-~]{1,128}\Z")
 DIGEST_BYTES = 16
+MAX_TIMEOUT_US = 3_600_000_000
 # Headers that may occur only once.
 SINGLE_VALUE_HEADERS = (
     "content-length", "transfer-encoding", "host", "x-request-id", "x-priority-class", "x-tenant-id", "x-timeout",
@@ -88,14 +89,21 @@
         return LocalResponse(400, "no body is taken here", closes_connection=False)
     if not VISIBLE_ASCII.match(headers.get("x-request-id", "")):
         return LocalResponse(400, "bad or missing X-Request-ID", closes_connection=False)
-    timeout = TIMEOUT_VALUE.match(headers.get("x-timeout", ""))
-    if not timeout:
+    timeout_us = parse_timeout_us(headers.get("x-timeout", ""))
+    if timeout_us is None:
         return LocalResponse(400, "bad or missing X-Timeout", closes_connection=False)
     tenant = config.accounts.get(headers.get("x-tenant-id", ""), -1) if config.accounts else 0
     if tenant < 0:
         return LocalResponse(400, "unknown tenant", closes_connection=False)
-    remaining_us = int(float(timeout[1]) * (1000 if timeout[2] == "m" else 1))
-    return cls, tenant, request.received_us + min(remaining_us, 3_600_000_000)  # at most one hour
+    return cls, tenant, request.received_us + timeout_us
+
+
+def parse_timeout_us(value: str) -> int | None:
+    """The value of X-Timeout in microseconds, MAX_TIMEOUT_US at most; None if it is invalid."""
+    timeout = TIMEOUT_VALUE.match(value)
+    if not timeout:
+        return None
+    return min(int(float(timeout[1]) * (1000 if timeout[2] == "m" else 1)), MAX_TIMEOUT_US)
 
 
 def is_kept(header: str, config: ProxyConfig) -> bool:
--- a/slatelab/soak/clients.py
+++ b/slatelab/soak/clients.py
@@ -29,6 +29,12 @@
     leave_after_s: float = -1.0
     must_be_served: bool = False
 
+    @property
+    def may_be_long(self) -> bool:
+        """Whether the answer is long, or does not state its length."""
+        options = dict(self.options)
+        return options.get("answer", 0) > LONG_ANSWER_BYTES or "chunked" in options
+
     @property
     def transfer_s(self) -> float:
         """How long a node takes to write the answer."""
@@ -125,7 +131,7 @@
             spec.safe,
             spec.timeout_s,
             must_be_served=spec.must_be_served,
-            long_answer=dict(spec.options).get("answer", 0) > LONG_ANSWER_BYTES,
+            long_answer=spec.may_be_long,
         )
         for _ in range(2):
             request.sent_at = 0.0
--- a/slatelab/soak/pictures.py
+++ b/slatelab/soak/pictures.py
@@ -119,7 +119,7 @@
                     options += (("chunked", 1),)
                 await client.call(RequestSpec(True, 4.0, options, must_be_served=size > 64 * 1024))
             else:
-                size = run.random.choice((100_000, 1_000_000, 8_000_000))
+                size = run.random.choice((100_000, 1_000_000, 3_000_000, 8_000_000))
                 read = run.random.choice((64_000, 400_000))
                 await client.call(RequestSpec(False, run.random.choice((1.0, 3.0)), (("read", read),), size))
         client.disconnect()
--- a/slatelab/soak/records.py
+++ b/slatelab/soak/records.py
@@ -28,7 +28,8 @@
     status: int = 0  # 0: no whole answer
     foreign: bool = False  # the answer belongs to another request, or is damaged
     must_be_served: bool = False  # nothing in the run is a reason to let it fail; it may be refused at once
-    long_answer: bool = False  # over 64 KiB: its first bytes are timed instead of its last
+    # Over 64 KiB: its first bytes are timed instead of its last. So are those of one that does not state its length.
+    long_answer: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -20,6 +20,7 @@
 from slatehub.core.jobs import Job, NodeResponse
 from slatehub.drivers.clock import clock
 from slatehub.fronts.http1 import server
+from slatehub.fronts.http1.receipt_clock import MAX_SYSTEM_BUFFER_BYTES, PAUSE_US, ReceiptClock
 from slatehub.fronts.http1.server import CallerConnection, HttpServer
 
 SHORT_TIMEOUT_US = 100_000
@@ -246,6 +247,42 @@
     assert elapsed_us < 650_000
 
 
+def test_an_order_that_waits_for_memory_is_answered_in_its_time() -> None:
+    """It had been sent whole, and its time began anew once the order before it had left the memory."""
+    size, timeout_s = 300_000, 0.4
+    running = Service(node_time_s=1.2, memory_limit=400_000)
+    with running.connect() as first, running.connect() as second:
+        first.sendall(order("first", size))
+        gevent.sleep(0.05)
+        gevent.spawn(second.sendall, order("second", size, timeout_ms=int(timeout_s * 1000)))
+        began_at = clock()
+        ((status, _),) = read_answers(second, 1)
+        assert status == 503 and clock() - began_at < (timeout_s + 0.5) * 1_000_000
+        assert read_answers(first, 1) == [(200, "first")]
+    gevent.killall(running.greenlets)
+    for connection in list(running.http_server.connections):
+        connection.close()
+
+
+def test_input_that_follows_unread_input_without_a_pause_counts_from_when_that_was_left() -> None:
+    times = ReceiptClock()
+    assert times.received(10, 100, drained=False) == 100
+    times.left_unread(1_000)
+    times.left_unread(500_000)
+    assert times.received(16_384, 2_000_000, drained=False) == 1_000
+    assert times.received(100, 2_000_001, drained=True) == 1_000
+    assert times.received(100, 2_000_001 + PAUSE_US - 1, drained=True) == 1_000
+    after_pause = 2_000_000 + 3 * PAUSE_US
+    assert times.received(100, after_pause, drained=True) == after_pause
+
+
+def test_more_than_the_systems_can_hold_was_not_all_sent_while_it_lay_unread() -> None:
+    times = ReceiptClock()
+    times.left_unread(1_000)
+    assert times.received(MAX_SYSTEM_BUFFER_BYTES, 2_000_000, drained=False) == 1_000
+    assert times.received(1, 2_000_001, drained=False) == 2_000_001
+
+
 class SlowNode(ScriptedNode):
     """Takes 10 ms for each request."""
 
