A node at whose address another one has come up counts as gone, though it is still listed

Cause: the list names the old id for a while beside the new one. Both were used: what was meant for the old one, with its zone, its cell and its warmth, went to the new process, which got two shares at once, and when it drained under its own id work still came under the old one. And an attempt whose node moved while its connection came up went to the old address.

Change: of several listed nodes at one address the one that started last is there (among equals the one listed last); the others are passed on as gone until it has left.

--- a/slatehub/discovery/node_list.py
+++ b/slatehub/discovery/node_list.py
@@ -20,6 +20,7 @@
 from ..drivers.upstream import UpstreamConnection, UpstreamError, host_header, serialize_request
 from ..observe.log import error_location, log_event
 from ..settings.reader import Address, ConfigError, ProxyConfig, parse_address
+from .address_owners import AddressOwners
 from .endpoint_numbers import EndpointNumbers
 from .timing import CONNECT_TIMEOUT_US, WATCH_DEADLINE_US, WATCH_TIMEOUT_MS
 
@@ -62,6 +63,7 @@
         self.maintenance = maintenance or Maintenance()
         # node id -> what discovery reports of each node that is not gone
         self.reported: dict[str, tuple[Entry, Address]] = {}
+        self.address_owners = AddressOwners()
         self.connection: UpstreamConnection | None = None
         self.updated = GeventEvent()  # set when discovery has answered
         self.watcher: gevent.Greenlet[[], None] | None = None
@@ -203,10 +205,20 @@
                 self.reported.pop(node_id, None)
         revision = tree.get("revision")
         self.revision = revision if isinstance(revision, int) else None
+        changed = self.address_owners.update(self.reported) - parsed.keys()
+        rows += [(node_id, *self.reported[node_id]) for node_id in changed if node_id in self.reported]
         self._publish(kind, rows)
 
     def _publish(self, kind: ListKind, rows: list[tuple[str, Entry, Address | None]]) -> None:
-        """Passes on what discovery reports, with the operators' maintenance applied to it."""
+        """Passes on what discovery reports, with the operators' maintenance applied to it. A node at whose address
+        another one has come up is gone, though it is still listed."""
+        superseded = self.address_owners.superseded
+        rows = [
+            (node_id, replace(entry, state=State.GONE), None)
+            if node_id in superseded
+            else (node_id, entry, address)
+            for node_id, entry, address in rows
+        ]
         updates = [(self.maintenance.apply_to(node_id, entry), address) for node_id, entry, address in rows]
         for entry, address in updates:
             if address:
--- a/slatehub/nodes/http1.py
+++ b/slatehub/nodes/http1.py
@@ -412,6 +412,9 @@
             connection = self.connection = connection or self._connect(node)
             if connection is None or self._is_obsolete:
                 break
+            if connection.address != node.address:
+                connection.close()  # the node has moved meanwhile: another process may be at its old address
+                continue
             time_left = attempt.deadline - clock()
             try:
                 request = serialize_request(
