A short answer that is forwarded as it comes ends with its time

Callers saw (soak, not the operators): a short answer of a slow node, passed on while memory is short, ended up to 3.7 s after its time, which counts as lost; before, it would have failed in time.

Cause: while memory is short answers over 16 kB are forwarded as they come, and a stream has no deadline. That is right for long ones, whose first bytes are timed, not for those up to 64 kB.

Change: a stream of 64 kB or less ends at the deadline of its request.

Test: new; without the deadline the stream ended with the node's silence after 10 s.

--- a/slatehub/nodes/http1.py
+++ b/slatehub/nodes/http1.py
@@ -344,6 +344,10 @@
         node_response = NodeResponse(
             response.take_body(), response.headers.get("content-type", ""), pipe, response.declared_length
         )
+        timer = None
+        if response.declared_length is not None and response.declared_length <= MAX_BUFFERED_BODY_BYTES:
+            # A short answer that is not collected, as memory is short: its last byte is due in time.
+            timer = Timer(self.attempt.job.deadline, connection.close)
         try:
             self.stop(Status.OK, report, node_response)
             while chunk := connection.read_body_chunk(response):
@@ -361,6 +365,8 @@
                 pipe.abort()
         finally:
             response.parser = None  # breaks a reference cycle that would need a garbage collection
+            if timer:
+                timer.cancel()
         connection.close()
 
     @property
--- a/slatelab/soak/clients.py
+++ b/slatelab/soak/clients.py
@@ -168,12 +168,17 @@
             timeout_s = spec.timeout_s + ANSWER_GRACE_S + spec.transfer_s
             status, body, keep_alive = await asyncio.wait_for(connection.read_answer(), timeout_s)
         except TimeoutError:
+            request.how_it_ended = f"nothing more in {timeout_s:.0f} s"
             self.disconnect()
             return True
         except (OSError, EOFError, ValueError) as error:
             self.disconnect()
+            request.how_it_ended = (
+                f"{'cut off' if connection.answer_begun else 'closed'}: {type(error).__name__}"
+            )
             if connection.answer_begun:
-                return True  # cut off
+                request.cut_off_at = now()
+                return True
             # The system resets a connection that is closed with unread bytes; a plain end says that all was read.
             request.read_and_closed = not (connection.used or isinstance(error, OSError))
             request.unanswered_close_at = now()
--- a/slatelab/soak/records.py
+++ b/slatelab/soak/records.py
@@ -26,6 +26,8 @@
     read_and_closed: bool = False  # the proxy read it on a new connection, and closed that with no answer
     answered_at: float = 0.0  # the last byte of the answer arrived
     status: int = 0  # 0: no whole answer
+    cut_off_at: float = 0.0  # the connection ended within the answer
+    how_it_ended: str = ""  # where there was no whole answer: in words
     foreign: bool = False  # the answer belongs to another request, or is damaged
     must_be_served: bool = False  # nothing in the run is a reason to let it fail; it may be refused at once
     # Over 64 KiB: its first bytes are timed instead of its last. So are those of one that does not state its length.
@@ -48,6 +50,7 @@
 
     requests: list[ClientRequest] = field(default_factory=list)
     executions: list[Execution] = field(default_factory=list)
+    node_deaths: list[float] = field(default_factory=list)
     arrivals: list[tuple[float, str]] = field(
         default_factory=list
     )  # a request's first bytes at a node, and its id
--- a/tests/test_slow_nodes.py
+++ b/tests/test_slow_nodes.py
@@ -8,10 +8,15 @@
 from http.client import HTTPResponse
 from pathlib import Path
 
+import gevent
 import pytest
 from proxy_rig import SAFE_CLASS, ScriptedNode, build_request, read_response, running_proxy
+from test_line import DispatcherRig, ScriptedBalancer, make_pool, open_listener, run_event_loop
 
+from paddlestep.interface import Send
 from slatehub.core.limits import MAX_BUFFERED_BODY_BYTES
+from slatehub.core.memory import MemoryBudget
+from slatehub.drivers.clock import clock
 from slatehub.drivers.upstream import HOLD_BACK_US, NEVER_US, RESPONSE_SILENCE_TIMEOUT_US, UpstreamResponse
 
 LONG_ANSWER = bytes(range(250)) * 400  # 100,000 bytes
@@ -121,3 +126,28 @@
     response = response_of(b"Content-Length: 100000", 0)
     response.note_progress(10_000_000, 1)
     assert not response.streamed
+
+
+def test_a_short_answer_that_is_forwarded_as_it_comes_ends_with_its_time() -> None:
+    """While memory is short it is not collected; its last byte would be late."""
+    with open_listener() as listener:
+        rig = DispatcherRig(ScriptedBalancer(Send(1, 1)))
+        pool = make_pool(rig, listener)
+        pool.memory = MemoryBudget(1_000)
+        pool.memory.count(2_000)
+        began_at = clock()
+        rig.submit_job("a", time_left=300_000)
+        run_event_loop()
+        pool.send(rig.attempts[0])
+        node, _ = listener.accept()
+        node.recv(1000)
+        node.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + bytes(20_000))
+        with gevent.Timeout(20):
+            while not rig.answers:
+                gevent.sleep(0.001)
+            stream = rig.answers[0][1].response.body_stream
+            chunks = []
+            while chunk := stream.read_chunk():
+                chunks.append(chunk)
+        assert chunk is None and 250_000 < clock() - began_at < 800_000
+        node.close()
