Input that takes long to parse is parsed in slices, with the others in between

Cause: what was received together, up to 16 kB, was parsed in one go, and a reader went on while there was more: 65 ms for 200 kB in chunks of one byte, times some 250 connections.

Change: a reader that has more to parse gives the event loop a turn after each slice (1 kB of heads, 4 kB of a body without a length). A request that came alone is not held up. Whether a close could be seen is asked of such a reader too.

Test: new, failed before (all of it fed at once).

--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -427,8 +427,8 @@
         was_in_request = self.parser.in_request
         self.parser.feed(data, received_at)
         self._wait_for_memory()
-        if self.parser.bytes_read > MAX_MESSAGE_BYTES:
-            gevent.sleep(0)  # a caller that sends faster than this reads must not block the others
+        if self.parser.bytes_read > MAX_MESSAGE_BYTES or self.read_ahead_buffer:
+            gevent.sleep(0)  # a caller that sends faster than this reads and parses must not block the others
         if self.closed:
             return False
         self._update_buffered_bytes()
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -11,7 +11,7 @@
 
 import gevent
 import pytest
-from gevent.socket import create_connection
+from gevent.socket import create_connection, socketpair
 from proxy_rig import SAFE_CLASS, ProxyRig, ScriptedNode, build_request, read_response, running_proxy
 from test_line import DispatcherRig, connect_caller, make_server, open_listener, request_head
 
@@ -19,6 +19,7 @@
 from slatehub.core.jobs import NodeResponse
 from slatehub.drivers.clock import clock
 from slatehub.drivers.pipe import Pipe
+from slatehub.fronts.http1.request_parser import RequestParser
 from slatehub.fronts.http1.server import MAX_ACCEPT_WAIT_US, CallerConnection
 
 IN_FLIGHT = 500  # requests of the bad caller on its connection
@@ -107,6 +108,34 @@
     assert len(turns) > 3
 
 
+def test_a_caller_whose_input_takes_long_to_parse_lets_the_others_in_between(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """16 kB in chunks of one byte were parsed in one go, and 200 callers that sent them kept the others waiting for
+    seconds."""
+    fed: list[RequestParser] = []
+    feed = RequestParser.feed
+
+    def recorded(parser: RequestParser, data: bytes, received_at: int = 0) -> None:
+        fed.append(parser)
+        feed(parser, data, received_at)
+
+    monkeypatch.setattr(RequestParser, "feed", recorded)
+    rig = DispatcherRig()
+    http_server = make_server(rig)
+    head = request_head("a").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    pairs = [socketpair() for _ in range(2)]
+    pairs[0][0].sendall(head + b"1\r\nx\r\n" * 2_600)
+    pairs[1][0].sendall(request_head("b"))
+    connections = [CallerConnection(http_server, sock) for _, sock in pairs]
+    gevent.sleep(0.05)
+    tedious, usual = (connection.parser for connection in connections)
+    assert fed.count(tedious) > 2 and usual in fed[: fed.index(tedious) + 3]
+    for (caller, _), connection in zip(pairs, connections, strict=True):
+        connection.close()
+        caller.close()
+
+
 def test_new_connections_that_wait_while_all_are_in_use_are_reset_in_time() -> None:
     """They waited for as long as the others took, and were answered seconds after their time."""
     rig = DispatcherRig()
