Log lines say why a connection was closed for room, and how much memory is held

Change: the line on a request that is turned down for memory names the bytes held, the limit and the request's id; a connection that is closed to make room for a new one gets a line with the reason. Measured: nothing; tests/test_floods.py, test_log.py and test_crowd_memory.py pass.

--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -357,7 +357,9 @@
         if self.parser.error or not self.parser.in_request:
             return
         size = max(self.parser.bytes_read, self.parser.declared_length)
-        log_event("memory", f"memory limit: rejected a request of {size} bytes", "warning")
+        memory = self.http_server.memory
+        text = f"memory limit: rejected a request of {size} bytes, {memory.held} of {memory.limit} are held"
+        log_event("memory", text, "warning", request=self.parser.headers.get("x-request-id"))
         self.parser.reject(NO_MEMORY)
         self._update_buffered_bytes()
 
@@ -938,6 +940,8 @@
             (s for s in self.connections if not (s.idle or s.has_unanswered_request)), None
         )
         if victim:
+            state = "it was idle" if victim.idle else "its request was not whole"
+            log_event("callers", f"connection closed to make room for a new one: {state}")
             victim.close()
         return victim is not None
 
