A large order is read for 1 ms in each turn, and small chunks in smaller slices

Cause: a turn after each read, and slices of 4 kB, of which one in chunks of one byte takes 1.4 ms.

Change: a large body gives the others a turn after 1 ms of reading; a slice of a body without a length is halved, down to 1 kB, when it took over 0.5 ms to parse.

Tests: two new ones.

--- a/slatehub/fronts/http1/request_parser.py
+++ b/slatehub/fronts/http1/request_parser.py
@@ -29,8 +29,11 @@
 
 # Fed at once between bodies, so that few requests are parsed before they can be served.
 HEAD_SLICE_BYTES = 1024
-# Fed at once of a body that does not state its length: requests behind its end are parsed with it.
-CHUNKED_SLICE_BYTES = 4 * 1024
+# Fed at once of a body that does not state its length, less where its chunks are small: each costs as much as a large
+# one, and requests behind the end of the body are parsed with it.
+MIN_CHUNKED_SLICE_BYTES = 1024
+MAX_CHUNKED_SLICE_BYTES = 4 * 1024
+MAX_PARSE_US = 500  # for one slice; one that takes longer is halved
 NO_MEMORY = LocalResponse(503, "no room")  # the system has none for a large body
 
 
@@ -56,6 +59,7 @@
         self.in_request = False
         self.in_head = False
         self.bytes_read = 0  # since the last complete request
+        self.chunked_slice_bytes = MAX_CHUNKED_SLICE_BYTES
         self.received_at = 0  # of the bytes that are being parsed
         self.expects_continue = False
         self.error: LocalResponse | None = None
@@ -89,7 +93,14 @@
         if self.in_head or not self.in_request:
             return HEAD_SLICE_BYTES
         remaining = self.content_length - self.body_size
-        return min(READ_CHUNK_BYTES, remaining) if remaining > 0 else CHUNKED_SLICE_BYTES
+        return min(READ_CHUNK_BYTES, remaining) if remaining > 0 else self.chunked_slice_bytes
+
+    def note_parse_time(self, elapsed_us: int) -> None:
+        """Adapts the next slice to how long the last one took."""
+        if elapsed_us > MAX_PARSE_US:
+            self.chunked_slice_bytes = max(MIN_CHUNKED_SLICE_BYTES, self.chunked_slice_bytes // 2)
+        else:
+            self.chunked_slice_bytes = min(MAX_CHUNKED_SLICE_BYTES, self.chunked_slice_bytes * 2)
 
     def close(self) -> None:
         """Drops the parser, which refers to this object. Without this reference cycle both are freed
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -76,6 +76,7 @@
 # elsewhere in time. Less where the shortest deadline of a class is less than twice as long.
 MAX_ACCEPT_WAIT_US = 2_000_000
 MAX_CLOSED_UNREAD = 1024  # at once
+TURN_US = 1_000  # for which a large body is read without a turn for the others
 MIN_EVICTION_AGE_US = 200_000  # the first request of a younger connection may still be in transit
 MAX_QUEUED_REQUESTS = 1  # parsed pipelined requests per connection; later ones stay in the kernel buffer
 PARSED_REQUEST_BYTES = 2048  # of a request as objects, beside its body
@@ -120,6 +121,7 @@
         self.buffered_bytes = 0  # this connection's share of the memory held, without large bodies
         self.read_ahead_buffer = ReadAheadBuffer()  # received and not parsed yet
         self.receipt_clock = ReceiptClock()
+        self.turn_began_at = 0  # of reading a large body, microseconds
         self.has_unread_input = False  # input was left in the socket: a close could lie behind it
         # Of the request that is being received: when its head was complete, and the earliest time of its timeout.
         self.head_received_at = self.min_deadline = 0
@@ -427,10 +429,14 @@
             self.close()  # a shutdown of only the sending side counts as a disconnect, too
             return False
         was_in_request = self.parser.in_request
+        began_at = clock()
         self.parser.feed(data, received_at)
+        self.parser.note_parse_time(clock() - began_at)
         self._wait_for_memory()
-        if self.parser.bytes_read > MAX_MESSAGE_BYTES or self.read_ahead_buffer:
+        is_large = self.parser.bytes_read > MAX_MESSAGE_BYTES
+        if self.read_ahead_buffer or is_large and began_at - self.turn_began_at >= TURN_US:
             gevent.sleep(0)  # a caller that sends faster than this reads and parses must not block the others
+            self.turn_began_at = clock()
         if self.closed:
             return False
         self._update_buffered_bytes()
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -19,7 +19,13 @@
 from slatehub.core.jobs import NodeResponse
 from slatehub.drivers.clock import clock
 from slatehub.drivers.pipe import Pipe
-from slatehub.fronts.http1.request_parser import RequestParser
+from slatehub.fronts.http1 import server
+from slatehub.fronts.http1.request_parser import (
+    MAX_CHUNKED_SLICE_BYTES,
+    MAX_PARSE_US,
+    MIN_CHUNKED_SLICE_BYTES,
+    RequestParser,
+)
 from slatehub.fronts.http1.server import MAX_ACCEPT_WAIT_US, CallerConnection
 
 IN_FLIGHT = 500  # requests of the bad caller on its connection
@@ -136,6 +142,38 @@
         caller.close()
 
 
+def test_a_body_of_small_chunks_is_parsed_in_smaller_slices() -> None:
+    parser = RequestParser()
+    parser.feed(request_head("a").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked"))
+    assert parser.wanted_bytes == MAX_CHUNKED_SLICE_BYTES
+    for _ in range(9):
+        parser.note_parse_time(MAX_PARSE_US + 1)
+    assert parser.wanted_bytes == MIN_CHUNKED_SLICE_BYTES
+    for _ in range(9):
+        parser.note_parse_time(MAX_PARSE_US)
+    assert parser.wanted_bytes == MAX_CHUNKED_SLICE_BYTES
+
+
+def test_a_large_body_is_read_for_a_while_in_each_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    """16 kB a turn left an order of megabytes waiting for seconds where hundreds of others took their turns."""
+    monkeypatch.setattr(server, "TURN_US", 10_000_000)
+    size = 3_000_000
+    rig = DispatcherRig()
+    rig.driver.update_nodes(ListKind.FULL, 1, (Entry(1),))
+    http_server = make_server(rig, memory_limit=10_000_000)
+    caller, connection = connect_caller(http_server, request_head("a", size))
+    sending = gevent.spawn(caller.sendall, bytes(size))
+    turns = set()  # when the reader went on after it had given the others a turn
+    with gevent.Timeout(20):
+        while not rig.attempts:
+            turns.add(connection.turn_began_at)
+            gevent.sleep(0)
+    assert len(turns) <= 2
+    sending.get()
+    connection.close()
+    caller.close()
+
+
 def test_new_connections_that_wait_while_all_are_in_use_are_reset_in_time() -> None:
     """They waited for as long as the others took, and were answered seconds after their time."""
     rig = DispatcherRig()
