What the count of memory costs a usual request is less

Cause: each request asked for thresholds that were computed each time, woke an event that nobody waited for, timed the parsing of 200 bytes, and watched responses that had come whole.

Change: thresholds and the set of kept headers are computed once; the event is set only where somebody waits; only slices of 1 kB and more are timed; a response that is whole is not watched.

--- a/slatehub/core/memory.py
+++ b/slatehub/core/memory.py
@@ -17,9 +17,22 @@
     """`limit` and `held` are in bytes. `on_release` is called whenever bytes were released."""
 
     def __init__(self, limit: int, on_release: Callable[[], None] = lambda: None) -> None:
-        self.limit = limit
         self.held = 0
         self.on_release = on_release
+        self.limit = limit
+
+    @property
+    def limit(self) -> int:
+        """Up to which requests that are not whole may fill the memory, in bytes."""
+        return self._limit
+
+    @limit.setter
+    def limit(self, limit: int) -> None:
+        reserve = limit // RESERVE_DIVISOR
+        self._limit = limit
+        # Kept ready, as each read asks for them.
+        self.large_limit = limit - reserve  # up to which large bodies may fill the memory
+        self.whole_limit = limit + reserve  # up to which requests that have come whole may
 
     def count(self, change: int) -> None:
         """Adds to the bytes held; a negative change releases them."""
@@ -27,16 +40,6 @@
         if change < 0:
             self.on_release()
 
-    @property
-    def reserve(self) -> int:
-        """Bytes that are kept for small requests."""
-        return self.limit // RESERVE_DIVISOR
-
-    @property
-    def large_limit(self) -> int:
-        """Up to which large bodies may fill the memory, in bytes."""
-        return self.limit - self.reserve
-
     @property
     def short(self) -> bool:
         """Whether only the reserve is left: no large body may be kept waiting, and little is read at once."""
@@ -45,14 +48,14 @@
     @property
     def full(self) -> bool:
         """Whether no request that is not whole may be kept."""
-        return self.held > self.limit
+        return self.held > self._limit
 
     @property
     def exhausted(self) -> bool:
         """Whether nothing more may be taken on."""
-        return self.held > self.limit + self.reserve
+        return self.held > self.whole_limit
 
     @property
     def read_size(self) -> int:
         """How many bytes should be read from a connection at once."""
-        return SHORT_READ_BYTES if self.short else READ_CHUNK_BYTES
+        return SHORT_READ_BYTES if self.held > self.large_limit else READ_CHUNK_BYTES
--- a/slatehub/drivers/upstream.py
+++ b/slatehub/drivers/upstream.py
@@ -230,7 +230,7 @@
         """Called after each part that the peer has sent."""
         if not self.response.started:
             self.close()
-        elif not self.timer and not self.response.complete:
+        elif not self.timer:
             self.began_at = clock()
             self._start()
 
@@ -330,13 +330,16 @@
         begun does not go on (`UpstreamResponse.stalls_at`); a 1xx response does not start that time. The body is
         counted in `memory` until the caller releases it. Raises OSError and UpstreamError, with nothing counted."""
         response = UpstreamResponse(limit, max_streamed_body, memory)
-        watch = StallWatch(response, on_stall) if on_stall else None
+        watch: StallWatch | None = None
         finished = False
         try:
             while not (response.complete or response.streamed):
                 self._receive(response)
+                if response.complete:
+                    break
                 response.note_progress(clock(), forward_by)
-                if watch:
+                if on_stall:
+                    watch = watch or StallWatch(response, on_stall)
                     watch.note_progress()
             finished = True
         finally:
--- a/slatehub/fronts/http1/request_parser.py
+++ b/slatehub/fronts/http1/request_parser.py
@@ -40,20 +40,21 @@
 class RequestParser:
     """Parses what a caller sends; httptools calls the on_ methods. Appends complete requests to `parsed`, and after an
     error, as the last item, the error response. `needs_digest`: whether the body of a request with these headers is
-    hashed, which happens as it is received. `count_bytes` counts the memory of large bodies. `keeps_header`: whether a
-    header of this lower-case name is kept; others are only checked."""
+    hashed, which happens as it is received. `count_bytes` counts the memory of large bodies. `kept_headers` names
+    the headers that are kept, in lower case; others are only checked."""
 
     def __init__(
         self,
         max_body: int = MAX_BODY_BYTES,
         needs_digest: Callable[[dict[str, str]], bool] = lambda headers: False,
         count_bytes: CountBytes = lambda change: None,
-        keeps_header: Callable[[str], bool] = KEPT_HEADERS.__contains__,
+        kept_headers: Callable[[], frozenset[str]] = lambda: KEPT_HEADERS,
     ) -> None:
         self.max_body = max_body  # bytes
         self.needs_digest = needs_digest
         self.count_bytes = count_bytes
-        self.keeps_header = keeps_header
+        self.kept_headers = kept_headers
+        self.kept_in_this_head = KEPT_HEADERS
         self.parser: Any = httptools.HttpRequestParser(self)
         self.parsed: list[ReceivedRequest | LocalResponse] = []
         self.in_request = False
@@ -137,6 +138,7 @@
 
     def on_message_begin(self) -> None:
         self._clear()
+        self.kept_in_this_head = self.kept_headers()
         self.in_request = self.in_head = True
 
     def on_url(self, url: bytes) -> None:
@@ -154,7 +156,7 @@
         if not decoded_value.replace("\t", " ").isprintable() and not self.error:
             # Some headers are forwarded to a node unchanged.
             self.error = LocalResponse(400, "control character in a header")
-        if self.keeps_header(lower_name):
+        if lower_name in self.kept_in_this_head:
             if lower_name in self.headers:
                 self.repeated_headers.add(lower_name)
             self.headers[lower_name] = decoded_value
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -40,15 +40,15 @@
     LocalResponse,
     ReceivedRequest,
     intent_register_key,
-    is_kept,
     is_recorded,
+    kept_headers,
     request_digest,
     request_fingerprint,
     validate_request,
 )
 from .read_ahead import ReadAheadBuffer
 from .receipt_clock import ReceiptClock
-from .request_parser import NO_MEMORY, RequestParser
+from .request_parser import MIN_CHUNKED_SLICE_BYTES, NO_MEMORY, RequestParser
 
 FIRST_BYTE_TIMEOUT_US = 2_200_000  # until the first byte on a new connection
 FIRST_REQUEST_TIMEOUT_US = 2_700_000  # from accepting the connection until the first request is complete
@@ -131,7 +131,7 @@
         self.parser = RequestParser(
             needs_digest=http_server.needs_digest,
             count_bytes=http_server.memory.count,
-            keeps_header=http_server.keeps_header,
+            kept_headers=lambda: http_server.kept_headers,
         )
         self.requests: Queue[ReceivedRequest | LocalResponse] = Queue(MAX_QUEUED_REQUESTS)
         self.job: Job | None = None
@@ -262,6 +262,8 @@
     def _would_notice_close(self) -> bool:
         """Receives what the caller has sent behind the current request, as far as it may be read ahead. Returns whether
         a close by the caller could be noticed now; if so, and it has closed, the connection is closed."""
+        if not self._reader_lags:
+            return not self.closed
         try:
             while self._reader_lags and self._read_chunk_ahead():
                 gevent.sleep(0)  # the others must not wait until much has been read
@@ -275,7 +277,7 @@
     @property
     def _reader_lags(self) -> bool:
         """Whether the reader does not wait for input, so that it cannot see a close."""
-        return bool(self.read_ahead_buffer) or self in self.http_server.paused_readers
+        return self in self.http_server.paused_readers or len(self.read_ahead_buffer) > 0
 
     def _buffer(self, data: bytes, received_at: int) -> None:
         self.read_ahead_buffer.append(data, received_at)
@@ -429,12 +431,15 @@
             self.close()  # a shutdown of only the sending side counts as a disconnect, too
             return False
         was_in_request = self.parser.in_request
-        began_at = clock()
-        self.parser.feed(data, received_at)
-        self.parser.note_parse_time(clock() - began_at)
+        if len(data) < MIN_CHUNKED_SLICE_BYTES:
+            self.parser.feed(data, received_at)
+        else:
+            began_at = clock()
+            self.parser.feed(data, received_at)
+            self.parser.note_parse_time(clock() - began_at)
         self._wait_for_memory()
         is_large = self.parser.bytes_read > MAX_MESSAGE_BYTES
-        if self.read_ahead_buffer or is_large and began_at - self.turn_began_at >= TURN_US:
+        if self.read_ahead_buffer or is_large and clock() - self.turn_began_at >= TURN_US:
             gevent.sleep(0)  # a caller that sends faster than this reads and parses must not block the others
             self.turn_began_at = clock()
         if self.closed:
@@ -711,10 +716,11 @@
         self.config = config
         self.dispatcher = dispatcher
         self.max_connections = max_connections
+        self.kept_headers = kept_headers(config)
         self.memory = memory
         self.bytes_read_ahead = 0  # of the bytes held, those that are read ahead and not parsed yet
         self.memory_released = Event()
-        memory.on_release = self.memory_released.set
+        memory.on_release = self._on_memory_released
         self.memory_waiters: deque[CallerConnection] = deque()  # connections that wait for memory, in order
         self.paused_readers: set[CallerConnection] = set()  # connections whose reader is paused
         self.reader_paused = Event()
@@ -742,6 +748,10 @@
         self.disconnect_greenlet = gevent.spawn(self._disconnect_loop)
         self.acceptor = gevent.spawn(self._accept_loop)
 
+    def _on_memory_released(self) -> None:
+        if self.memory_waiters:
+            self.memory_released.set()
+
     def mark_reader_paused(self, connection: CallerConnection) -> None:
         """Includes a connection whose reader stops reading in the disconnect checks."""
         self.paused_readers.add(connection)
@@ -781,6 +791,7 @@
         """Applies new settings. Connections stay open, and later requests are validated against the new settings. A new
         listener replaces the old one, whose accept queue is emptied first."""
         self.config = config
+        self.kept_headers = kept_headers(config)
         self.max_connections = max_connections
         self.memory.limit = memory_limit
         if listener:
@@ -795,10 +806,6 @@
         """Whether the body of a request with these headers is hashed, for the ledger."""
         return is_recorded(headers, self.config)
 
-    def keeps_header(self, name: str) -> bool:
-        """Whether a header of this lower-case name is kept with its request."""
-        return is_kept(name, self.config)
-
     def ready(self, request: ReceivedRequest) -> LocalResponse:
         """The response to /ready."""
         if request.method not in ("GET", "HEAD"):
--- a/slatehub/fronts/validation.py
+++ b/slatehub/fronts/validation.py
@@ -46,7 +46,7 @@
 
     method: str
     target: str
-    headers: dict[str, str]  # those that `is_kept` names, in lower case
+    headers: dict[str, str]  # those that `kept_headers` names
     body: bytes | memoryview
     received_us: int
     keep_alive: bool
@@ -106,10 +106,10 @@
     return min(int(float(timeout[1]) * (1000 if timeout[2] == "m" else 1)), MAX_TIMEOUT_US)
 
 
-def is_kept(header: str, config: ProxyConfig) -> bool:
-    """Whether anything in the program reads or forwards a header of this lower-case name. A header takes many times its
-    bytes in memory, so that all others are dropped as they are received."""
-    return header in KEPT_HEADERS or header == config.operator.ledger.header
+def kept_headers(config: ProxyConfig) -> frozenset[str]:
+    """The headers that anything in the program reads or forwards, in lower case. A header takes many times its bytes in
+    memory, so that all others are dropped as they are received."""
+    return KEPT_HEADERS | {config.operator.ledger.header}
 
 
 def is_recorded(headers: dict[str, str], config: ProxyConfig) -> bool:
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -656,7 +656,7 @@
         memory=MemoryBudget(1_000_000),
         bytes_read_ahead=0,
         needs_digest=lambda headers: False,
-        keeps_header=lambda name: True,
+        kept_headers=frozenset(),
     )
     http_server.remove = lambda connection: None
     ours, theirs = socket.socketpair()
