Connections that come long after all were in use do not count as having waited

Callers would have seen: requests refused as out of time, on new connections that came while the accept queue never ran empty after all had been in use once.

Cause: the moment since which new connections wait was forgotten only when the queue was found empty.

Change: it is forgotten 0.2 s after all were last in use, too.

Test: new; without the change the request on such a connection is told 504.

--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -76,13 +76,13 @@
 # elsewhere in time. Less where the shortest deadline of a class is less than twice as long.
 MAX_ACCEPT_WAIT_US = 2_000_000
 MAX_CLOSED_UNREAD = 1024  # at once
+ACCEPT_BACKLOG_US = 200_000  # after all were in use, until those that waited are accepted
 TURN_US = 1_000  # for which a large body is read without a turn for the others
 MIN_EVICTION_AGE_US = 200_000  # the first request of a younger connection may still be in transit
 MAX_QUEUED_REQUESTS = 1  # parsed pipelined requests per connection; later ones stay in the kernel buffer
 PARSED_REQUEST_BYTES = 2048  # of a request as objects, beside its body
-STREAM_BYTES = (
-    3 * READ_CHUNK_BYTES
-)  # of a large answer that is being forwarded: received, in the pipe, being written
+# Of a large answer that is being forwarded: received, in the pipe, being written.
+STREAM_BYTES = 3 * READ_CHUNK_BYTES
 REFUSED = LocalResponse(503, "refused", closes_connection=False)
 DELIVERY_MARGIN_US = 5_000  # an answer must reach the caller by the deadline, not only be sent by then
 NEW_CONNECTION_GRACE_US = 500_000  # for the first request of a new connection during a planned stop
@@ -731,9 +731,8 @@
         self.accept_limiter = AcceptLimiter(AcceptLimiterConfig())
         self.stall_detector = StallDetector(PROCESS_STARTED_US)
         self.started = False
-        self.full_since = (
-            0  # since when new connections wait as all are in use, in microseconds; 0: none waits
-        )
+        # Since when new connections wait as all are in use, and when one was last found to; microseconds, 0: none does.
+        self.full_since = self.full_until = 0
         self.connections: OrderedDict[CallerConnection, None] = OrderedDict()  # least recently used first
 
     def start(self, listener: Any = None) -> None:
@@ -887,7 +886,7 @@
     def _limit_accept_wait(self) -> None:
         """Called while all connections are in use and one waits. Closes those that have waited for long, unread: their
         requests count as not taken, while an answer after their time would be late."""
-        now = clock()
+        now = self.full_until = clock()
         self.full_since = self.full_since or now
         shortest_us = min(kind.deadline_us for kind in self.config.settings.classes)
         if now - self.full_since < min(MAX_ACCEPT_WAIT_US, shortest_us // 2):
@@ -912,6 +911,8 @@
                 while len(self.connections) >= self.max_connections and not self._evict_connection():
                     self._limit_accept_wait()
                     gevent.sleep(0.02)  # all are busy; new connections wait in the accept queue
+                if self.full_since and clock() - self.full_until > ACCEPT_BACKLOG_US:
+                    self.full_since = 0
                 connection = self._add_connection(self.listener.accept()[0])
                 if self.full_since:
                     connection.receipt_clock.left_unread(self.full_since)
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -26,7 +26,7 @@
     MIN_CHUNKED_SLICE_BYTES,
     RequestParser,
 )
-from slatehub.fronts.http1.server import MAX_ACCEPT_WAIT_US, CallerConnection
+from slatehub.fronts.http1.server import ACCEPT_BACKLOG_US, MAX_ACCEPT_WAIT_US, CallerConnection
 
 IN_FLIGHT = 500  # requests of the bad caller on its connection
 CALL_TIMEOUT = "2000m"  # X-Timeout of the usual callers
@@ -218,3 +218,23 @@
             assert second.recv(100).startswith(b"HTTP/1.1 50")
             assert [attempt.job.request_id for attempt in rig.attempts] == ["a"]
         http_server.acceptor.kill()
+
+
+def test_connections_that_come_long_after_all_were_in_use_do_not_count_as_having_waited() -> None:
+    """While new ones come without a pause the accept queue may never be found empty."""
+    rig = DispatcherRig()
+    rig.driver.update_nodes(ListKind.FULL, 1, (Entry(1),))
+    http_server = make_server(rig, max_connections=9)
+    with open_listener() as listener, gevent.Timeout(20):
+        http_server.start(listener)
+        http_server.full_since = clock() - 60_000_000
+        http_server.full_until = clock() - 2 * ACCEPT_BACKLOG_US
+        callers = [create_connection(listener.getsockname()) for _ in range(3)]
+        gevent.sleep(0.05)
+        assert len(http_server.connections) == 3 and not http_server.full_since
+        callers[0].sendall(request_head("a").replace(b"60000m", b"5000m"))
+        while not rig.attempts:
+            gevent.sleep(0.001)
+        for caller in callers:
+            caller.close()
+        http_server.acceptor.kill()
