A large body takes its memory in the turn in which there was room for it

Cause: since input is parsed in slices, a reader gave the others a turn between the check for memory and its reservation, so that several passed the check for the same bytes.

Change: the turn comes after the reservation.

--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -438,13 +438,15 @@
             self.parser.feed(data, received_at)
             self.parser.note_parse_time(clock() - began_at)
         self._wait_for_memory()
+        if self.closed:
+            return False
+        self._update_buffered_bytes()  # without a turn for others since there was memory
         is_large = self.parser.bytes_read > MAX_MESSAGE_BYTES
         if self.read_ahead_buffer or is_large and clock() - self.turn_began_at >= TURN_US:
             gevent.sleep(0)  # a caller that sends faster than this reads and parses must not block the others
             self.turn_began_at = clock()
-        if self.closed:
-            return False
-        self._update_buffered_bytes()
+            if self.closed:
+                return False
         begins_request = bool(self.parser.parsed) or not was_in_request
         is_first = self.fresh and not self.has_unanswered_request
         if self.parser.parsed or not self.parser.in_request:
