--- a/slatelab/soak/clients.py
+++ b/slatelab/soak/clients.py
@@ -161,7 +161,8 @@
     async def _send(self, request: ClientRequest, spec: RequestSpec) -> bool:
         """Returns whether the whole request was written."""
         try:
-            if self.connection is None:
+            if self.connection is None or self.connection.reader.at_eof():
+                self.disconnect()
                 self.connection = await Connection.open(self.address())
             await self.connection.write(request_bytes(request.request_id, spec), spec.body_rate)
         except OSError:
