A new connection that is closed to make room is reset

Cause: a new connection without a request may be closed for room once no older idle one is left. Its first request may cross the FIN.

Change: such a connection is reset, as those are that wait too long: a reset says that nothing was read.

Test: new, failed before (end in place of a reset).

--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -958,6 +958,9 @@
         if victim:
             state = "it was idle" if victim.idle else "its request was not whole"
             log_event("callers", f"connection closed to make room for a new one: {state}")
+            if victim.fresh:
+                # As for those that are closed unread: a FIN could cross the first request.
+                victim.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             victim.close()
         return victim is not None
 
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -238,3 +238,14 @@
         for caller in callers:
             caller.close()
         http_server.acceptor.kill()
+
+
+def test_a_new_connection_that_is_closed_for_room_is_reset() -> None:
+    """Its first request may cross the close; a FIN would look as if it had been read and left unanswered."""
+    http_server = make_server(DispatcherRig(), max_connections=1)
+    with open_listener() as listener, gevent.Timeout(20):
+        http_server.start(listener)
+        with create_connection(listener.getsockname()) as first, create_connection(listener.getsockname()):
+            with pytest.raises(ConnectionResetError):
+                first.recv(100)
+        http_server.acceptor.kill()
