--- a/slatelab/soak/__main__.py
+++ b/slatelab/soak/__main__.py
@@ -38,7 +38,9 @@
 )
 @click.option("--memory-mb", type=int, help="Limits in place of the seed's choice.")
 @click.option("--sockets", type=int, default=1024, show_default=True)
-@click.option("--crowd", "crowds", multiple=True, metavar="KIND:COUNT:SIZE", help="Of the picture crowd.")
+@click.option(
+    "--crowd", "crowds", multiple=True, metavar="KIND:COUNT:SIZE", help="Of the picture crowd or waves."
+)
 @click.option(
     "--logs", type=click.Path(path_type=Path, file_okay=False), help="Keep the logs of the program here."
 )
--- a/slatelab/soak/crowd.py
+++ b/slatelab/soak/crowd.py
@@ -96,6 +96,13 @@
     await receive(sock)
 
 
+async def unended_bodies(spec: CrowdSpec, random: Random, sock: socket.socket, number: int) -> None:
+    """A request with a stated length but for its last byte; then nothing more."""
+    await send(sock, head_start(number, random) + f"Content-Length: {spec.size}\r\n\r\n".encode())
+    await send(sock, bytes(spec.size - 1))
+    await receive(sock)
+
+
 async def slow_bodies(spec: CrowdSpec, random: Random, sock: socket.socket, number: int) -> None:
     """A whole request whose body is written at the lowest rate that is promised."""
     await send(sock, head_start(number, random) + f"Content-Length: {spec.size}\r\n\r\n".encode())
@@ -208,8 +215,8 @@
 BEHAVIOURS: dict[str, Member] = {
     f.__name__: f
     for f in (
-        slow_heads, whole_heads, stopped_bodies, slow_bodies, small_chunks, slow_readers, stopped_readers, pipelined,
-        idle, flood_unknown_class, flood_new_names, flood_no_time, flood_unsound,
+        slow_heads, whole_heads, stopped_bodies, unended_bodies, slow_bodies, small_chunks, slow_readers,
+        stopped_readers, pipelined, idle, flood_unknown_class, flood_new_names, flood_no_time, flood_unsound,
     )
 }  # fmt: skip
 
--- a/slatelab/soak/pictures.py
+++ b/slatelab/soak/pictures.py
@@ -30,6 +30,13 @@
     "pipelined": (20_000, 1_000_000),
     "idle": (0,),
 }
+# The kinds of `waves`: all that take memory, each with sizes on both sides of what counts as a large body.
+WAVE_SIZES = {
+    **CROWD_SIZES,
+    "slow_bodies": (30_000, 64_000, 120_000),
+    "unended_bodies": (64_000, 261_120, 4_194_304),
+}
+WAVES_PER_RUN = 4
 FLOODS = ("flood_unknown_class", "flood_new_names", "flood_no_time", "flood_unsound")
 
 
@@ -53,6 +60,18 @@
     await run.wait_until_end()
 
 
+async def waves(run: Run) -> None:
+    """Crowds of different kinds one after the other at one process: what each leaves behind must not add up."""
+    count = int(run.limits.sockets * run.random.uniform(0.25, 0.6))
+    kinds = run.random.sample(sorted(WAVE_SIZES), WAVES_PER_RUN)
+    drawn = tuple(CrowdChoice(kind, count, run.random.choice(WAVE_SIZES[kind])) for kind in kinds)
+    choices = run.plan.crowds or drawn
+    wave_s = (run.until - now()) / len(choices)
+    for choice in choices:
+        run.start_crowd(choice, wave_s)
+        await asyncio.sleep(wave_s)
+
+
 async def floods(run: Run) -> None:
     """(b) One client, or a few, that send small or unsound requests at full speed, also under ever new names."""
     run.start_crowd(CrowdChoice(run.random.choice(FLOODS), run.random.choice((1, 1, 4)), 0))
@@ -175,9 +194,11 @@
             run.proxy.signal(signal.SIGHUP)
 
 
-PICTURES: dict[str, Picture] = {
+# Those that a seed chooses from. A later picture is played where it is named, so that the plans of seeds stay the same.
+DRAWN_PICTURES: dict[str, Picture] = {
     f.__name__: f
     for f in (
         crowd, floods, leaving, repeated_ids, slow_answers, reused_addresses, signals, upgrades, reloads,
     )
 }  # fmt: skip
+PICTURES: dict[str, Picture] = {**DRAWN_PICTURES, waves.__name__: waves}
--- a/slatelab/soak/run.py
+++ b/slatelab/soak/run.py
@@ -17,7 +17,7 @@
 from .clients import usual_traffic
 from .crowd import CrowdSpec
 from .peers import Discovery, Node
-from .pictures import PICTURES, CrowdChoice
+from .pictures import DRAWN_PICTURES, PICTURES, CrowdChoice
 from .proxy_process import ROOT, Limits, ProxyProcess, Workplace, free_address, private_bytes, settings
 from .records import Record, now
 
@@ -75,7 +75,7 @@
 def draw_plan(seed: int, seconds: float, pictures: Iterable[str] = (), limits: Limits | None = None) -> Plan:
     """The plan of a seed. `pictures` and `limits` replace what the seed would choose."""
     random = Random(seed)
-    chosen = tuple(pictures) or tuple(random.sample(sorted(PICTURES), random.choice((1, 2, 2))))
+    chosen = tuple(pictures) or tuple(random.sample(sorted(DRAWN_PICTURES), random.choice((1, 2, 2))))
     if set(chosen) == {"signals", "upgrades"}:
         chosen = chosen[:1]  # both would replace the same process
     drawn = random.choice(LIMITS)
@@ -122,14 +122,14 @@
         """Returns when the pictures have to end."""
         await asyncio.sleep(max(0.0, self.until - now()))
 
-    def start_crowd(self, crowd: CrowdChoice) -> None:
-        """Starts a crowd that lasts until the end of the run."""
+    def start_crowd(self, crowd: CrowdChoice, seconds: float | None = None) -> None:
+        """Starts a crowd that lasts so long, or until the end of the run."""
         spec = CrowdSpec(
             crowd.behaviour,
             self.listen,
             crowd.count,
             crowd.size,
-            self.until - now(),
+            self.until - now() if seconds is None else seconds,
             self.random.getrandbits(32),
         )
         self.crowds.append(subprocess.Popen(spec.command(), cwd=ROOT, stderr=subprocess.DEVNULL))
