The memory of the process is measured, and free memory goes back to the system

What callers saw: a process was killed at the onset of a crowd; all that it had in hand was lost.

Cause: what requests and answers hold was counted, and the memory of the process never measured. What a crowd of small bodies had left free stayed with the process as holes of the heap, while large bodies lie in mappings of their own and cannot use them: the count said that there was room, and the next crowd came on top.

The count was 0 between the crowds, 5 MB of the heap were in use and 30 MB free, private memory 53 MB.

Fix: private memory is measured each 0.1 s, whenever the count has grown by half of the margin, and with each new connection. What the process takes beside all that is counted, beyond what the limit leaves for that, is withheld from requests, of which small ones keep the reserve. Where only the margin is left, a new connection takes the place of an idle one. This holds whatever the overhead consists of, on any machine. Bodies that are counted beforehand and not received yet do not hide an overhead; for that LargeBody sets its reservation before it counts it.

Lines of topic pressure tell private memory, count and connections as the memory passes parts of the limit, when memory is released, and when requests or connections get less; rejections for memory tell private memory and excess.

--- a/slatehub/cli/main.py
+++ b/slatehub/cli/main.py
@@ -25,6 +25,7 @@
 from ..decisions.resource_budget import MANAGEMENT_DESCRIPTORS, RESERVED_DESCRIPTORS, split_budget
 from ..discovery.node_list import NodeList
 from ..drivers.dispatcher import DispatcherDriver
+from ..drivers.memory_monitor import MemoryMonitor
 from ..fronts.http1.server import HttpServer
 from ..fronts.listener import listen
 from ..nodes.http1 import NodePool
@@ -35,6 +36,8 @@
 from .promises import CopiesLifecycle
 from .recorder_lifecycle import RecorderLifecycle
 
+BYTES_PER_MB = 1 << 20
+
 
 def _load_or_exit(own: str | None) -> ProxyConfig:
     try:
@@ -69,6 +72,11 @@
     )
 
 
+def process_memory_limit(config: ProxyConfig, shared_with_process: bool) -> int:
+    """The bytes that this process may take in all. `shared_with_process`: as for `resource_shares`."""
+    return config.memory_mb // (2 if shared_with_process else 1) * BYTES_PER_MB
+
+
 def recovery(config: ProxyConfig) -> RecoveryConfig:
     """The storm detection and retry advice that the operator's file enables."""
     storms = config.operator.storms
@@ -280,6 +288,12 @@
         peers,
         copies,
     )
+    memory_monitor = MemoryMonitor(
+        memory,
+        lambda: process_memory_limit(http_server.config, management.shared_with_process),
+        http_server.unreceived_bytes,
+        lambda: len(http_server.connections) + node_pool.open_connections,
+    )
     try:
         copies.check(config)
         recorder.apply_settings(config)
@@ -303,6 +317,7 @@
         sys.exit(1)
     gc.collect()
     gc.freeze()  # the objects loaded so far live to the end; scanning them at each collection would only add pauses
+    memory_monitor.start()
     host, port = http_server.listener.getsockname()[:2]
     log_event("start", f"{config.name} listens on {host}:{port}, tier {config.settings.tier}")
     reload_settings = SettingsReloader(
@@ -321,4 +336,5 @@
         "stop",
         f"done after {driver.job_table.last_number} jobs, {node_pool.attempts_sent} attempts, "
         f"{node_pool.connections_opened} connections to nodes",
+        highest_private_bytes=memory_monitor.highest,
     )
--- a/slatehub/fronts/http1/large_body.py
+++ b/slatehub/fronts/http1/large_body.py
@@ -35,8 +35,8 @@
     def reserve(self, size: int) -> None:
         """Counts this many bytes for the body, unless as many are counted already."""
         if size > self.reserved:
-            self.count_bytes(size - self.reserved)
-            self.reserved = size
+            growth, self.reserved = size - self.reserved, size  # before the count, which may look at it
+            self.count_bytes(growth)
 
     def append(self, data: bytes | bytearray) -> None:
         """Adds the next bytes, which are counted with it. Raises OSError if there is no memory for them."""
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -363,7 +363,14 @@
         size = max(self.parser.bytes_read, self.parser.declared_length)
         memory = self.http_server.memory
         text = f"memory limit: rejected a request of {size} bytes, {memory.held} of {memory.limit} are held"
-        log_event("memory", text, "warning", request=self.parser.headers.get("x-request-id"))
+        log_event(
+            "memory",
+            text,
+            "warning",
+            request=self.parser.headers.get("x-request-id"),
+            private_bytes=memory.private,
+            excess_bytes=memory.excess,
+        )
         self.parser.reject(NO_MEMORY)
         self._update_buffered_bytes()
 
@@ -753,6 +760,11 @@
         if self.memory_waiters:
             self.memory_released.set()
 
+    def unreceived_bytes(self) -> int:
+        """Bytes that are counted for large bodies and have not been received yet."""
+        bodies = (connection.parser.large_body for connection in self.connections)
+        return sum(body.reserved - body.received for body in bodies if body is not None)
+
     def mark_reader_paused(self, connection: CallerConnection) -> None:
         """Includes a connection whose reader stops reading in the disconnect checks."""
         self.paused_readers.add(connection)
@@ -876,6 +888,7 @@
         connection = CallerConnection(self, sock)
         self.connections[connection] = None
         self.dispatcher.connection_opened()
+        self.memory.on_growth()
         return connection
 
     @property
@@ -901,7 +914,8 @@
             sock.close()
             closed += 1
         self.full_since = 0
-        log_event("callers", f"all connections are in use: closed {closed} new ones unread", "warning")
+        reason = "memory is full" if self.memory.critical else "all connections are in use"
+        log_event("callers", f"{reason}: closed {closed} new ones unread", "warning")
 
     def _accept_loop(self) -> None:
         while True:
@@ -910,7 +924,7 @@
                 # at once, because a complete request may already have arrived on it.
                 socket.wait_read(self.listener.fileno())
                 self._wait_for_accept_limiter()
-                while len(self.connections) >= self.max_connections and not self._evict_connection():
+                while not self._make_room():
                     self._limit_accept_wait()
                     gevent.sleep(0.02)  # all are busy; new connections wait in the accept queue
                 if self.full_since and clock() - self.full_until > ACCEPT_BACKLOG_US:
@@ -939,6 +953,11 @@
             due = self.accept_limiter.due()
             gevent.sleep(max(0, due - clock()) / 1e6 if due else 0)
 
+    def _make_room(self) -> bool:
+        """Returns whether one more connection may be accepted, for which another one was closed if need be."""
+        is_full = len(self.connections) >= self.max_connections or self.memory.critical
+        return not is_full or self._evict_connection()
+
     def _evict_connection(self) -> bool:
         """Closes one dispensable connection and returns whether there was one. In this order: one that has been open
         for a while without a request, the least recently used idle one, a new one, and one whose request is incomplete
