What a slow peer takes is not kept twice

An answer of 16 to 64 kB for a caller that reads slowly was kept as the body and once more as one piece with its head until it was written; a body of that size for a node that reads slowly likewise. They were counted once.

Head and body are now written one after the other from 16 kB on.

--- a/slatehub/drivers/upstream.py
+++ b/slatehub/drivers/upstream.py
@@ -15,7 +15,7 @@
 from gevent import socket
 
 from ..core.jobs import NodeRequest
-from ..core.limits import MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, READ_CHUNK_BYTES
+from ..core.limits import MAX_HEAD_BYTES, READ_CHUNK_BYTES
 from ..core.memory import MemoryBudget
 from ..settings.reader import Address
 from .clock import Timer, clock
@@ -33,13 +33,13 @@
 
 
 def serialize_request(request: NodeRequest, host: str, extra: str = "") -> list[bytes | memoryview]:
-    """Returns the request as bytes to write: one piece, or head and body apart if the body is large. `extra` holds
-    complete header lines."""
+    """Returns the request as bytes to write: one piece, or head and body apart if the body is not small, as a slow node
+    would keep a copy. `extra` holds complete header lines."""
     lines = "".join(f"{name}: {value}\r\n" for name, value in request.headers)
     # Encoding cannot fail: the parser of the caller's request accepts only printable ASCII.
     length = f"Content-Length: {len(request.body)}\r\n" if request.body or request.method != "GET" else ""
     head = f"{request.method} {request.target} HTTP/1.1\r\nHost: {host}\r\n{lines}{extra}{length}\r\n"
-    if len(request.body) <= MAX_BUFFERED_BODY_BYTES:
+    if len(request.body) <= MAX_SINGLE_WRITE_BYTES:
         return [head.encode("latin-1") + request.body]
     return [head.encode("latin-1"), memoryview(request.body)]
 
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -547,7 +547,7 @@
         head += extra_headers + ("Connection: close\r\n" if closes_connection else "") + "\r\n"
         body = b"" if isinstance(item, ReceivedRequest) and item.method == "HEAD" else body
         if streamed_response is None:
-            self._write(head.encode("latin-1") + body)
+            self._write_answer(head.encode("latin-1"), body)
         else:
             self._stream_response(head.encode("latin-1"), streamed_response, chunked)
         self.serving = self.fresh = False
@@ -678,6 +678,14 @@
             None,
         )
 
+    def _write_answer(self, head: bytes, body: bytes) -> None:
+        """Sends head and body, together only if that copies little: a slow caller keeps what is being sent."""
+        if len(body) <= READ_CHUNK_BYTES:
+            self._write(head + body)
+        else:
+            self._write(head)
+            self._write(body)
+
     def _write(self, data: bytes) -> None:
         """Sends all data. The connection of a caller that does not take it in time is closed (`write_deadline`)."""
         self.write_timer = Timer(clock() + WRITE_WATCH_DELAY_US, self._watch_write)
--- a/tests/test_memory_pressure.py
+++ b/tests/test_memory_pressure.py
@@ -1,15 +1,20 @@
-"""The measured memory of the process: what it takes from requests, when free memory is given back."""
+"""The measured memory of the process: what it takes from requests, when free memory is given back, and what is not kept
+twice."""
 
 from __future__ import annotations
 
 import subprocess
 import sys
+import tracemalloc
 from pathlib import Path
 
 import gevent
 import pytest
-from test_line import DispatcherRig, connect_caller, make_server, request_head
+from gevent import socket
+from test_line import DispatcherRig, connect_caller, make_server, request_head, run_event_loop
 
+from paddlestep.interface import Entry, ListKind, Status
+from slatehub.core.jobs import NodeRequest, NodeResponse
 from slatehub.core.memory import MemoryBudget
 from slatehub.decisions.memory_pressure import (
     MAX_RELEASE_INTERVAL_US,
@@ -20,6 +25,7 @@
 )
 from slatehub.drivers.memory_monitor import MemoryMonitor
 from slatehub.drivers.process_memory import ProcessMemory
+from slatehub.drivers.upstream import serialize_request
 
 MB = 1 << 20
 ROOT = Path(__file__).parents[1]
@@ -161,3 +167,25 @@
     assert not http_server._make_room()
     for caller in callers:
         caller.close()
+
+
+def test_an_answer_that_is_taken_slowly_is_not_kept_twice() -> None:
+    size = 60_000
+    rig = DispatcherRig()
+    rig.driver.update_nodes(ListKind.FULL, 1, (Entry(1),))
+    caller, connection = connect_caller(make_server(rig), request_head("a"))
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    tracemalloc.start()
+    rig.driver.attempt_ended(rig.attempts.pop(), Status.OK, (), NodeResponse(bytes(size), ""))
+    run_event_loop()
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert connection.write_timer and kept < size * 3 // 2
+    connection.close()
+    caller.close()
+
+
+def test_a_body_that_is_written_slowly_to_a_node_is_not_kept_twice() -> None:
+    body = bytes(60_000)
+    *_, piece = serialize_request(NodeRequest("POST", "/", (), body), "node")
+    assert isinstance(piece, memoryview) and piece.obj is body
