--- a/slatehub/fronts/http1/request_parser.py
+++ b/slatehub/fronts/http1/request_parser.py
@@ -64,6 +64,7 @@
         self.received_at = 0  # of the bytes that are being parsed
         self.expects_continue = False
         self.error: LocalResponse | None = None
+        self.rejected_request_id = ""  # of the request that was rejected, if it is known
         self._clear()
 
     def _clear(self) -> None:
@@ -131,6 +132,7 @@
 
     def reject(self, error: LocalResponse) -> None:
         """Ends parsing with an error response and discards the incomplete request."""
+        self.rejected_request_id = self.headers.get("x-request-id", "")
         self.error = error
         self.parsed.append(error)
         self.bytes_read = 0
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -514,7 +514,8 @@
             return False
         self.current = item
         if isinstance(item, LocalResponse):
-            log_event("callers", f"request rejected: {item.status} {item.message}")
+            request_id = self.parser.rejected_request_id
+            log_event("callers", f"request rejected: {item.status} {item.message}", request=request_id)
         self.serving = True
         status, extra_headers, body, content_type, streamed_response = self._build_response(item)
         # These are accepted, or about to be, and must be answered too.
