A process leaves room for the program of the one that replaces it

The limit holds for both processes of an upgrade together. The first took all of it until the second had connected to it, which has its program of some 17 MB in memory by then.

Fix: where operators have an address, so that a second process may start, its program is set aside from what the first is measured by, if the limit is three times the program or more. Both get half once they are connected, as before.

--- a/slatehub/cli/main.py
+++ b/slatehub/cli/main.py
@@ -22,7 +22,12 @@
 from ..core.memory import MemoryBudget
 from ..core.recovery import RecoveryConfig
 from ..decisions.maintenance import Maintenance
-from ..decisions.resource_budget import MANAGEMENT_DESCRIPTORS, RESERVED_DESCRIPTORS, split_budget
+from ..decisions.resource_budget import (
+    MANAGEMENT_DESCRIPTORS,
+    RESERVED_DESCRIPTORS,
+    process_memory_mb,
+    split_budget,
+)
 from ..discovery.node_list import NodeList
 from ..drivers.dispatcher import DispatcherDriver
 from ..drivers.memory_monitor import MemoryMonitor
@@ -73,8 +78,8 @@
 
 
 def process_memory_limit(config: ProxyConfig, shared_with_process: bool) -> int:
-    """The bytes that this process may take in all. `shared_with_process`: as for `resource_shares`."""
-    return config.memory_mb // (2 if shared_with_process else 1) * BYTES_PER_MB
+    """The bytes that this process may take in all. `shared_with_process`: another one of this proxy is connected."""
+    return process_memory_mb(config.memory_mb, config.mgmt is not None, shared_with_process) * BYTES_PER_MB
 
 
 def recovery(config: ProxyConfig) -> RecoveryConfig:
