A long answer begins in small pieces while memory is short

Cause: each answer was collected up to 16 kB before it was forwarded, however short memory was, and counted as three pieces of 16 kB: 8.4 MB were counted where 2.75 are the limit, as the answers of all requests in hand come after they were let in.

Line of topic pressure in it: counted_bytes=8443904.

Fix: while memory is short an answer is forwarded from its first 4 kB on, and counts as what its pieces take then.

Three tests failed before.

--- a/slatehub/drivers/upstream.py
+++ b/slatehub/drivers/upstream.py
@@ -105,10 +105,9 @@
             return False
         if self.held_back_long_enough:
             return True
-        limit = min(self.limit, READ_CHUNK_BYTES) if self.memory.short else self.limit
-        return len(self.body) > limit or (
-            (self.declared_length or 0) > limit and len(self.body) >= READ_CHUNK_BYTES
-        )
+        beginning = self.memory.read_size
+        limit = min(self.limit, beginning) if self.memory.short else self.limit
+        return len(self.body) > limit or ((self.declared_length or 0) > limit and len(self.body) >= beginning)
 
     @property
     def may_be_large(self) -> bool:
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -81,8 +81,9 @@
 MIN_EVICTION_AGE_US = 200_000  # the first request of a younger connection may still be in transit
 MAX_QUEUED_REQUESTS = 1  # parsed pipelined requests per connection; later ones stay in the kernel buffer
 PARSED_REQUEST_BYTES = 2048  # of a request as objects, beside its body
-# Of a large answer that is being forwarded: received, in the pipe, being written.
-STREAM_BYTES = 3 * READ_CHUNK_BYTES
+STREAM_READ_AHEAD_CHUNKS = (
+    2  # of a large answer, beside the chunk that is being written: received, and in the pipe
+)
 REFUSED = LocalResponse(503, "refused", closes_connection=False)
 DELIVERY_MARGIN_US = 5_000  # an answer must reach the caller by the deadline, not only be sent by then
 NEW_CONNECTION_GRACE_US = 500_000  # for the first request of a new connection during a planned stop
@@ -163,7 +164,8 @@
         if is_current:
             if isinstance(answer.response, NodeResponse) and not self.closed:
                 is_streamed = answer.response.body_stream is not None
-                self._count_answer(STREAM_BYTES if is_streamed else len(answer.response.body))
+                read_ahead = STREAM_READ_AHEAD_CHUNKS * self.http_server.memory.read_size
+                self._count_answer(len(answer.response.body) + (read_ahead if is_streamed else 0))
             self.result.set(answer)
 
     def close(self) -> None:
--- a/tests/test_memory_pressure.py
+++ b/tests/test_memory_pressure.py
@@ -7,6 +7,7 @@
 import sys
 import tracemalloc
 from pathlib import Path
+from typing import Any
 
 import gevent
 import pytest
@@ -15,7 +16,8 @@
 
 from paddlestep.interface import Entry, ListKind, Status
 from slatehub.core.jobs import NodeRequest, NodeResponse
-from slatehub.core.memory import MemoryBudget
+from slatehub.core.limits import READ_CHUNK_BYTES
+from slatehub.core.memory import SHORT_READ_BYTES, MemoryBudget
 from slatehub.decisions.memory_pressure import (
     MAX_RELEASE_INTERVAL_US,
     MIN_MARGIN_BYTES,
@@ -24,8 +26,9 @@
     MemoryReading,
 )
 from slatehub.drivers.memory_monitor import MemoryMonitor
+from slatehub.drivers.pipe import Pipe
 from slatehub.drivers.process_memory import ProcessMemory
-from slatehub.drivers.upstream import serialize_request
+from slatehub.drivers.upstream import UpstreamResponse, serialize_request
 
 MB = 1 << 20
 ROOT = Path(__file__).parents[1]
@@ -156,6 +159,20 @@
     caller.close()
 
 
+def test_the_log_names_the_request_that_is_rejected_for_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    lines: list[tuple[str, Any]] = []
+    monkeypatch.setattr(
+        "slatehub.fronts.http1.server.log_event",
+        lambda topic, text, level="info", **fields: lines.append((topic, fields.get("request"))),
+    )
+    http_server = make_server(DispatcherRig(), memory_limit=8 * MB)
+    http_server.memory.count(8 * MB)
+    caller, _ = connect_caller(http_server, request_head("a", 4 * MB))
+    assert caller.recv(100).startswith(b"HTTP/1.1 503 ")
+    assert lines == [("memory", "a"), ("callers", "a")]
+    caller.close()
+
+
 def test_a_new_connection_takes_the_place_of_an_idle_one_while_memory_is_full() -> None:
     http_server = make_server(DispatcherRig())
     callers = [connect_caller(http_server, b"")[0] for _ in range(2)]
@@ -185,6 +202,35 @@
     caller.close()
 
 
+def test_a_long_answer_is_forwarded_in_small_pieces_from_the_first_on_while_memory_is_short() -> None:
+    memory = MemoryBudget(MB)
+    memory.count(MB)
+    response = UpstreamResponse(64 * 1024, 4 * MB, memory)
+    response.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n")
+    response.feed(bytes(SHORT_READ_BYTES))
+    assert response.streamed
+
+
+@pytest.mark.parametrize("short", [False, True])
+def test_a_long_answer_counts_as_much_as_its_pieces_take(short: bool) -> None:
+    rig = DispatcherRig()
+    rig.driver.update_nodes(ListKind.FULL, 1, (Entry(1),))
+    http_server = make_server(rig, memory_limit=MB)
+    memory = http_server.memory
+    others = memory.large_limit if short else 0
+    memory.count(others)
+    caller, connection = connect_caller(http_server, request_head("a"))
+    before = memory.held
+    answer = NodeResponse(bytes(SHORT_READ_BYTES), "", Pipe(lambda: None), 2_000_000)
+    rig.driver.attempt_ended(rig.attempts.pop(), Status.OK, (), answer)
+    run_event_loop()
+    piece = SHORT_READ_BYTES if short else READ_CHUNK_BYTES
+    assert memory.held - before <= SHORT_READ_BYTES + 2 * piece
+    connection.close()
+    caller.close()
+    assert memory.held == others
+
+
 def test_a_body_that_is_written_slowly_to_a_node_is_not_kept_twice() -> None:
     body = bytes(60_000)
     *_, piece = serialize_request(NodeRequest("POST", "/", (), body), "node")
