--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -45,8 +45,15 @@
     assert done.returncode == 0 and "known red: tests/test_x.py::test_bad: upstream fault (29)" in done.stdout
 
 
+def test_a_soak_run_is_printed_and_no_test_may_fail_for_it(tmp_path: Path) -> None:
+    soak = "python -m slatelab.soak --seeds 1 | late | 29\n"
+    done = run_pytest(tmp_path, VALID_LINE + "\n" + soak)
+    assert done.returncode == 0 and "known red: python -m slatelab.soak --seeds 1: late (29)" in done.stdout
+
+
 @pytest.mark.parametrize("listed", [
     "",
+    "python -m slatelab.soak --seeds 1 | late | 29\n",
     "tests/test_x.py::test_bad | other fails | 29\n",  # a test that is not listed fails, too
     f"{VALID_LINE}\ntests/test_x.py::test_good | it passes | 29",
     f"{VALID_LINE}\ntests/test_x.py::test_none | names no test | 29",
