Soak: the address of a run is reserved until its proxy has taken it

Cause: a run chose a free port for its proxy, closed the socket that had found it, and then started six nodes, a discovery and a management address on any free port. One node was given the proxy's port; the proxy ended with "listen: address in use", and the node answered both the readiness check and the clients.

Change: the port stays bound, without listening, until the run ends. A listener that names it with SO_REUSEADDR gets it; the kernel gives it to nobody who asks for any port (tried with the range narrowed to this one port: taken before, EADDRINUSE and EADDRNOTAVAIL now, with and without SO_REUSEADDR). A proxy that has ended is never taken for ready, and the time of a request without an answer is no longer told as a negative number. Five tests that found their spare port in the same way hold it now too. UDP addresses of the relay are still found and released.

--- a/slatelab/soak/checks.py
+++ b/slatelab/soak/checks.py
@@ -49,12 +49,7 @@
     if request.cut_off_at and _may_be_cut_off(request, record):
         return []
     if not request.answered_at:
-        return [
-            Violation(
-                "lost",
-                f"{name}: no whole answer, {request.how_it_ended} after {request.cut_off_at - request.sent_at:.2f} s",
-            )
-        ]
+        return [Violation("lost", f"{name}: no whole answer, {request.how_it_ended}")]
     if elapsed_s > request.timeout_s + LATE_ANSWER_S and not (request.long_answer and request.status == 200):
         return [Violation("lost", f"{name}: {request.status} after {elapsed_s:.2f} s")]
     if request.foreign:
--- a/slatelab/soak/clients.py
+++ b/slatelab/soak/clients.py
@@ -189,6 +189,7 @@
             )
             if connection.answer_begun:
                 request.cut_off_at = now()
+                request.how_it_ended += f" after {request.cut_off_at - request.sent_at:.2f} s"
                 return True
             # The system resets a connection that is closed with unread bytes; a plain end says that all was read.
             request.read_and_closed = not (connection.used or isinstance(error, OSError))
--- a/slatelab/soak/proxy_process.py
+++ b/slatelab/soak/proxy_process.py
@@ -7,7 +7,6 @@
 import os
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -20,6 +19,7 @@
 
 ROOT = Path(__file__).parents[2]
 SAMPLE_INTERVAL_S = 0.005
+LAST_LOG_CHARACTERS = 500
 READY_TIMEOUT_S = 30.0  # as long as the platform waits for a proxy
 SAFE_CLASS, UNSAFE_CLASS = "job-status", "order-place"
 TENANT = "cantina-etna"
@@ -60,19 +60,16 @@
     }  # fmt: skip
 
 
-def free_address() -> str:
-    """An address on loopback that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 def private_bytes(pid: int) -> int:
     """Private memory of a process. Raises OSError when it has ended."""
     rows = Path(f"/proc/{pid}/status").read_text().splitlines()
     return 1024 * sum(int(row.split()[1]) for row in rows if row.startswith(("RssAnon", "RssShmem")))
 
 
+class ProcessEndedError(Exception):
+    """A process has ended that was to serve."""
+
+
 class ProxyProcess:
     """One process of `serve`. A second one with the same `folder`, name and address takes over from the first."""
 
@@ -110,10 +107,12 @@
             pause.wait(SAMPLE_INTERVAL_S)
 
     async def wait_ready(self, path: str = "/ready", address: str = "") -> None:
-        """Waits until a GET of this path is answered 200. Raises TimeoutError."""
+        """Waits until a GET of this path is answered 200. Raises TimeoutError, and ProcessEndedError."""
         host, _, port = (address or self.address).rpartition(":")
         end = now() + READY_TIMEOUT_S
         while now() < end:
+            if self.process.poll() is not None:
+                raise ProcessEndedError(f"ended with {self.process.returncode}: {self._last_log()}")
             try:
                 reader, writer = await asyncio.open_connection(host, int(port))
                 writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
@@ -124,7 +123,10 @@
             except (OSError, TimeoutError):
                 pass
             await asyncio.sleep(0.05)
-        raise TimeoutError(f"not ready: {self.log_path.read_text(errors='replace')[-500:]}")
+        raise TimeoutError(f"not ready: {self._last_log()}")
+
+    def _last_log(self) -> str:
+        return self.log_path.read_text(errors="replace")[-LAST_LOG_CHARACTERS:]
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to this process."""
--- a/slatelab/soak/run.py
+++ b/slatelab/soak/run.py
@@ -13,12 +13,13 @@
 from random import Random
 from typing import Any
 
+from ..reserved_address import ReservedAddress
 from .checks import Violation, check_requests
 from .clients import usual_traffic
 from .crowd import CrowdSpec
 from .peers import Discovery, Node
 from .pictures import DRAWN_PICTURES, PICTURES, CrowdChoice
-from .proxy_process import ROOT, Limits, ProxyProcess, Workplace, free_address, private_bytes, settings
+from .proxy_process import ROOT, Limits, ProcessEndedError, ProxyProcess, Workplace, private_bytes, settings
 from .records import Record, now
 
 LIMITS = (
@@ -97,7 +98,8 @@
         self.record = Record()
         self.nodes = [Node(f"s-{i}", self.record) for i in range(NODE_COUNT)]
         self.discovery = Discovery()
-        self.listen = free_address()
+        self.listen = ReservedAddress()
+        self.management: list[ReservedAddress] = []
         self.until = 0.0
         self.processes: list[ProxyProcess] = []
         self.crowds: list[subprocess.Popen[bytes]] = []
@@ -116,7 +118,12 @@
 
     def address(self) -> str:
         """Where clients connect."""
-        return self.listen
+        return str(self.listen)
+
+    def management_address(self) -> str:
+        """A new address for the operators of a process."""
+        self.management.append(ReservedAddress())
+        return str(self.management[-1])
 
     async def wait_until_end(self) -> None:
         """Returns when the pictures have to end."""
@@ -126,7 +133,7 @@
         """Starts a crowd that lasts so long, or until the end of the run."""
         spec = CrowdSpec(
             crowd.behaviour,
-            self.listen,
+            self.address(),
             crowd.count,
             crowd.size,
             self.until - now() if seconds is None else seconds,
@@ -137,7 +144,8 @@
     def start_proxy(self) -> ProxyProcess:
         """Starts a process of the proxy."""
         config = {
-            "name": "n0", "listen": self.listen, "discovery": self.discovery.address, "mgmt": free_address(),
+            "name": "n0", "listen": self.address(), "discovery": self.discovery.address,
+            "mgmt": self.management_address(),
             "seed": f"{self.random.getrandbits(64):016x}",
             "limits": {"cores": 1.0, "memory_mb": self.limits.memory_mb, "sockets": self.limits.sockets},
             "known": {"revision": 1, "complete": True, "members": self.discovery.members},
@@ -160,6 +168,8 @@
             await asyncio.wait_for(new.wait_ready("/healthcheck", new.management), UPGRADE_TIMEOUT_S)
         except TimeoutError:
             self.violations.append(Violation("upgrade", "the second process was not ready in time"))
+        except ProcessEndedError as error:
+            self.violations.append(Violation("upgrade", str(error)))
         kill_at = now() + min(self.deadline_s, 3.0) + 0.7
         old.signal(signal.SIGTERM)
         while now() < kill_at and old.process.poll() is None:
@@ -216,6 +226,11 @@
         self.discovery.kill()
         await asyncio.sleep(0.05)  # connections that were reset are closed
 
+    def close_addresses(self) -> None:
+        """Gives back the addresses of the run."""
+        for address in (self.listen, *self.management):
+            address.close()
+
     def end_processes(self) -> None:
         """Ends all processes that the run has started."""
         for crowd in self.crowds:
@@ -234,6 +249,7 @@
             asyncio.run(run.play())
         finally:
             run.end_processes()
+            run.close_addresses()
             if logs:
                 for process in run.processes:
                     (logs / f"{plan.seed}-{process.log_path.name}").write_bytes(process.log_path.read_bytes())
--- a/tests/test_error_paths.py
+++ b/tests/test_error_paths.py
@@ -43,6 +43,7 @@
 from slatehub.mgmt.state import StateFile
 from slatehub.observe import recorder
 from slatehub.observe.recorder import FlightRecorder
+from slatelab.reserved_address import ReservedAddress
 
 # ---------------------------------------------------------------- pipe, state file, stages
 
@@ -373,18 +374,16 @@
         "    if len(calls) == 2: raise RuntimeError('planted')\n    return sound(*a)\n"
         "m.resource_shares = shares"
     )
-    with running_proxy(tmp_path, mgmt="127.0.0.1:0", code=code, faults=True) as p:
-        tree, spare = (
-            json.loads((tmp_path / "config.json").read_text()),
-            plain.create_server(("127.0.0.1", 0)),
-        )
-        place = spare.getsockname()
-        spare.close()
-        (tmp_path / "config.json").write_text(json.dumps(tree | {"mgmt": f"127.0.0.1:{place[1]}"}))
+    with (
+        ReservedAddress() as moved,
+        running_proxy(tmp_path, mgmt="127.0.0.1:0", code=code, faults=True) as p,
+    ):
+        tree = json.loads((tmp_path / "config.json").read_text())
+        (tmp_path / "config.json").write_text(json.dumps(tree | {"mgmt": str(moved)}))
         for line in ("new settings: RuntimeError: planted", "read again and in force"):
             p.program.process.send_signal(signal.SIGHUP)
             wait_until(lambda line=line: any(line in x for x in p.program.log))
             assert p.program.request(build_request("ok", SAFE_CLASS))[0] == 200
-        with plain.create_connection(place, 20) as conn:
+        with plain.create_connection(("127.0.0.1", moved.port), 20) as conn:
             conn.sendall(b"GET /healthcheck HTTP/1.1\r\n\r\n")
             assert conn.recv(100).startswith(b"HTTP/1.1 200 ")
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -27,6 +27,7 @@
 from slatehub.observe.nonblocking_writer import NonBlockingWriter, _write_if_ready
 from slatehub.settings import operator
 from slatehub.settings.errors import ConfigError
+from slatelab.reserved_address import ReservedAddress
 
 UNUSUAL_STRINGS = [
     "\n",
@@ -181,9 +182,10 @@
 @contextmanager
 def running_proxy_with_stderr(tmp: Path, code: str = "", **popen: Any) -> Iterator[ProxyRig]:
     """A proxy whose standard error the test provides; it must exit with status 0."""
-    with socket.create_server(("127.0.0.1", 0)) as spare:
-        listen = f"127.0.0.1:{spare.getsockname()[1]}"
-    with running_proxy(tmp, listen=listen, code=code, popen=popen) as p:
+    with (
+        ReservedAddress() as listen,
+        running_proxy(tmp, listen=str(listen), code=code, popen=popen) as p,
+    ):
         wait_until(lambda: socket.socket().connect_ex(p.program.address) == 0)
         yield p
         p.program.process.send_signal(signal.SIGTERM)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -30,6 +30,7 @@
 )
 
 from slatehub.discovery import timing
+from slatelab.reserved_address import ReservedAddress
 
 
 @pytest.fixture(scope="module")
@@ -451,14 +452,12 @@
 
 
 def test_sighup_moves_the_listener(tmp_path: Path) -> None:
-    with running_proxy(tmp_path) as p, socket.create_server(("127.0.0.1", 0)) as spare:
+    with running_proxy(tmp_path) as p, ReservedAddress() as moved:
         config = json.loads((tmp_path / "config.json").read_text())
-        port = spare.getsockname()[1]
-        spare.close()
-        (tmp_path / "config.json").write_text(json.dumps({**config, "listen": f"127.0.0.1:{port}"}))
+        (tmp_path / "config.json").write_text(json.dumps({**config, "listen": str(moved)}))
         p.program.process.send_signal(signal.SIGHUP)
         while not any("read again" in x for x in list(p.program.log)):
             assert p.program.process.poll() is None
             time.sleep(0.005)
-        p.program.address = ("127.0.0.1", port)
+        p.program.address = ("127.0.0.1", moved.port)
         assert send(p, build_request("ok"))[0] == 200
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -34,6 +34,7 @@
 from slatehub.cli.main import SettingsReloader
 from slatehub.drivers.clock import clock
 from slatehub.fronts.http1 import server
+from slatelab.reserved_address import ReservedAddress
 
 READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -155,17 +156,15 @@
     with (
         running_proxy(tmp_path) as p,
         ThreadPoolExecutor() as pool,
-        socket.create_server(("127.0.0.1", 0)) as spare,
+        ReservedAddress() as moved,
     ):
-        port = spare.getsockname()[1]
-        spare.close()
         waiting = pool.submit(p.program.request, build_request("wait"))
         assert p.nodes[0].held.acquire(timeout=20)
         process = p.program.process
         process.send_signal(signal.SIGTERM)
         wait_until(lambda: any("finishing 1 jobs" in line for line in list(p.program.log)))
         config = json.loads((tmp_path / "config.json").read_text())
-        (tmp_path / "config.json").write_text(json.dumps({**config, "listen": f"127.0.0.1:{port}"}))
+        (tmp_path / "config.json").write_text(json.dumps({**config, "listen": str(moved)}))
         for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR2, signal.SIGTERM):
             process.send_signal(number)
         # The process still runs and listens at the same address.
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -34,6 +34,7 @@
 from paddlestep import ListKind, ListUpdate, Watch
 from slatehub.discovery import node_list, timing
 from slatehub.discovery.node_list import NodeList
+from slatelab.reserved_address import ReservedAddress
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -233,16 +234,15 @@
 ) -> None:
     nodes = [ScriptedNode(), ScriptedNode()]
     members = [node_entry(f"s-{i}", node.address) for i, node in enumerate(nodes)]
-    with socket.create_server(("127.0.0.1", 0)) as spare:
-        port = spare.getsockname()[1]
-    program = ProxyProcess(tmp_path, members, f"127.0.0.1:{port}")
+    reserved = ReservedAddress()
+    program = ProxyProcess(tmp_path, members, str(reserved))
     discovery = FaultyDiscovery([], [{**members[0], "phase": "DRAINING"}, members[1]])
     try:
         assert program.request(build_request("ok"))[0] == 200
         wait_until(lambda: any("discovery" in line for line in list(program.log)))  # a call has failed
         before = [len(node.requests) for node in nodes]
         discovery.sock.close()
-        discovery.sock = socket.create_server(("127.0.0.1", port))
+        discovery.sock = socket.create_server(("127.0.0.1", reserved.port))
         threading.Thread(target=discovery._accept, daemon=True).start()
         wait_until(lambda: discovery.list_was_received)
         assert {program.request(build_request("ok"))[0] for _ in range(4)} == {200}
@@ -252,6 +252,7 @@
         program.process.wait()
         for peer in (*nodes, discovery):
             peer.sock.close()
+        reserved.close()
 
 
 # ---------------------------------------------------------------- races in one process
