Soak: the times of a client's close and of an arrival at a node are exact

Now a close is stamped by the callback that follows it, and an arrival counts from when the system received the node's last data (TCP_INFO). The bound is unchanged.

--- a/slatelab/soak/clients.py
+++ b/slatelab/soak/clients.py
@@ -104,13 +104,18 @@
         await self.reader.readexactly(2)
         return bytes(body)
 
-    def drop(self, resets: bool) -> None:
-        """Closes the connection at once: what this process has not passed to its system yet is dropped. `resets`: what
-        the system has not sent yet is dropped too, and the connection is reset."""
+    async def drop(self, resets: bool = False) -> float:
+        """Closes the connection: what this process has not passed to its system yet is dropped. `resets`: what the
+        system has not sent yet is dropped too, and the connection is reset. Returns when that was done, in seconds of
+        `now`."""
         if resets:
             sock = self.writer.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.writer.transport.abort()
+        loop = asyncio.get_running_loop()
+        closed_at: asyncio.Future[float] = loop.create_future()
+        self.writer.transport.abort()  # which has the event loop close the socket as its next callback
+        loop.call_soon(lambda: closed_at.set_result(now()))
+        return await closed_at
 
     def close(self) -> None:
         """Closes the connection."""
@@ -149,8 +154,7 @@
                 continue  # nothing of it was taken
             if spec.leave_after_s >= 0:
                 await asyncio.sleep(spec.leave_after_s)
-                self.disconnect()
-                request.closed_at = now()
+                request.closed_at = await self._leave()
                 break
             if await self._await_answer(request, spec):
                 break
@@ -204,6 +208,11 @@
             self.disconnect()
         return True
 
+    async def _leave(self) -> float:
+        """Closes the connection before the answer. Returns when that was done."""
+        connection, self.connection = self.connection, None
+        return await connection.drop() if connection else now()
+
     def disconnect(self) -> None:
         """Closes the connection, if there is one."""
         if self.connection:
--- a/slatelab/soak/peers.py
+++ b/slatelab/soak/peers.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import socket
+import sys
 from contextlib import suppress
 from typing import Any
 
@@ -13,6 +14,7 @@
 
 SLICE_S = 0.05  # between two pieces of a slow transfer
 ZONE = "sala-macchine"
+LAST_DATA_RECEIVED_OFFSET = 52  # of tcpi_last_data_recv in struct tcp_info: milliseconds, 4 bytes
 SMALL_BUFFER_BYTES = 16 * 1024  # of a socket whose peer is to notice at once that this side is slow
 
 
@@ -28,6 +30,17 @@
     return (text * (size // len(text) + 1))[: max(size, len(text))]
 
 
+def since_last_data_s(writer: asyncio.StreamWriter) -> float:
+    """How long ago the system received the last data of a connection: what this process has not read yet has waited for
+    so long. 0 if the connection is closed."""
+    sock = writer.get_extra_info("socket")
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED_OFFSET + 4)
+    except OSError:
+        return 0.0
+    return int.from_bytes(info[LAST_DATA_RECEIVED_OFFSET:], sys.byteorder) / 1000
+
+
 class Head:
     """Start line and headers of a message."""
 
@@ -108,7 +121,7 @@
 
     async def _serve_request(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         head = Head(await reader.readuntil(b"\r\n\r\n"))
-        began_at = now()
+        began_at = now() - since_last_data_s(writer)  # this event loop may have been late
         request_id = head.headers.get("x-request-id", "")
         self.record.arrivals.append((began_at, request_id))
         options = options_of(head.start.split(" ")[1])
--- a/slatelab/soak/pictures.py
+++ b/slatelab/soak/pictures.py
@@ -97,15 +97,17 @@
         spec = RequestSpec(False, spec.timeout_s, spec.options, run.random.choice((0, 200, 40_000, 300_000)))
         count = min(count, 20_000_000 // (spec.body_bytes + 200))
     requests = [ClientRequest(client.next_id(), spec.safe, spec.timeout_s) for _ in range(count)]
-    with suppress(OSError):
+    try:
         connection = await Connection.open(run.address())
         data = b"".join(request_bytes(request.request_id, spec) for request in requests)
         with suppress(TimeoutError):
             await asyncio.wait_for(connection.write(data), run.random.choice((0.3, 1.0)))
         await asyncio.sleep(run.random.choice((0.0, 0.05, 0.4)))
-        connection.drop(resets=run.random.random() < 0.5)
+        closed_at = await connection.drop(resets=run.random.random() < 0.5)
+    except OSError:
+        closed_at = now()
     for request in requests:
-        request.closed_at = now()
+        request.closed_at = closed_at
     run.record.requests.extend(requests)
 
 
