An attempt begins only where its client's close would be noticed

Cause: what a client has sent behind a request was received once, before the request was accepted. A request that then waited for its node was not looked at again: its client sent more than may be read ahead (4 MB) and closed, the close stayed behind the unread rest in the system's buffers, and the disconnect check could not see it. The check had a second gap: it ended where the reader caught up for a moment, with input left in the socket.

Change: the transport asks the responder of a job before the first byte of each attempt (`Responder.may_begin`); the front receives what lies behind, up to its limits and for at most 0.5 s, and ends the job where a close has come or could not be noticed. A job that waits with no attempt under way is refused as soon as its read-ahead is full, not when its turn comes.

Tests: three in test_gone.py fail before ("left" is sent on, with and without may_cancel; the client that stays gets no answer in 5 s). Two in test_pipelining.py guard what must stay.

--- a/slatehub/core/dispatcher.py
+++ b/slatehub/core/dispatcher.py
@@ -153,6 +153,11 @@
             self.recovery.caller_left(now, job)
         self._abandon(job, None, now)
 
+    def withdraw(self, now: int, job: Job) -> None:
+        """No attempt of this job may begin any more, though its caller may still wait: it is answered now."""
+        status = AnswerStatus.FAILED if job.may_have_run else AnswerStatus.REFUSED
+        self._abandon(job, Answer(status), now)
+
     def attempt_ended(
         self, now: int, attempt: Attempt, status: Status, report: tuple[float, ...] = (), response: Any = None
     ) -> None:
--- a/slatehub/core/jobs.py
+++ b/slatehub/core/jobs.py
@@ -64,6 +64,10 @@
 
     def answer(self, job: Job, answer: Answer) -> None: ...
 
+    def may_begin(self, job: Job) -> bool:
+        """Whether an attempt of this job may begin now. False if the caller has gone, or could have gone unnoticed;
+        the job has then been ended. May let others run before it returns."""
+
 
 class Job:
     """A request, from its last byte until its final answer and the end of its last attempt."""
@@ -99,6 +103,11 @@
         self.answered = False
         self.may_have_run = False  # an attempt has ended without proof that the request has not run
 
+    @property
+    def has_attempt_under_way(self) -> bool:
+        """Whether an attempt has been started that has not ended yet."""
+        return any(not attempt.finished for attempt in self.attempts)
+
 
 class Attempt:
     """One attempt to send a job: its number within the job, its node and its deadline."""
--- a/slatehub/core/stages.py
+++ b/slatehub/core/stages.py
@@ -206,7 +206,7 @@
 
     def close(self, job: Job) -> None:
         """Removes an answered job from the table once all its attempts have ended."""
-        if job.answered and all(a.finished for a in job.attempts):
+        if job.answered and not job.has_attempt_under_way:
             self.job_table.jobs.pop(job.number, None)
             if not job.may_have_run:
                 self.job_table.recent.discard(job.request_id)
--- a/slatehub/drivers/dispatcher.py
+++ b/slatehub/drivers/dispatcher.py
@@ -89,6 +89,11 @@
         self.dispatcher.caller_disconnected(clock(), job)
         self._execute_commands()
 
+    def withdraw(self, job: Job) -> None:
+        """Answers a job of which no attempt may begin any more."""
+        self.dispatcher.withdraw(clock(), job)
+        self._execute_commands()
+
     def attempt_ended(
         self, attempt: Attempt, status: Status, report: tuple[float, ...] = (), response: Any = None
     ) -> None:
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -71,6 +71,10 @@
 # with more than this behind them are refused.
 MAX_READ_AHEAD_BYTES = 4 * 1024 * 1024
 READ_AHEAD_MEMORY_DIVISOR = 4  # one part in so many of the memory limit is available for all read-ahead
+READ_BEHIND_TIMEOUT_US = (
+    500_000  # for receiving what was sent behind a request, before an attempt of it begins
+)
+UNREAD_INPUT_REASON = "more was sent behind it than may be read ahead"
 MAX_READ_AHEAD_CHUNKS = 64  # per call, so that a caller that sends without pause does not block the others
 # How long new connections wait while all are in use; then they are closed unread, so that their callers can go
 # elsewhere in time. Less where the shortest deadline of a class is less than twice as long.
@@ -216,6 +220,20 @@
         cases cannot be told apart."""
         return self.job is not None and not self.closed and self._has_peer_closed
 
+    @property
+    def could_leave_unnoticed(self) -> bool:
+        """Whether a job waits for its next attempt while a close could lie behind input that is left unread."""
+        job = self.job
+        is_waiting = job is not None and not (self.closed or job.answered or job.has_attempt_under_way)
+        return is_waiting and self.has_unread_input
+
+    @property
+    def _has_input_or_close(self) -> bool:
+        """Whether the socket has data to receive, or the caller has closed it."""
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN | select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     @property
     def _has_peer_closed(self) -> bool:
         """Whether the caller's FIN or reset has arrived, perhaps behind unread bytes."""
@@ -261,20 +279,38 @@
             self._buffer(chunk, received_at)
         return bool(chunk)
 
+    def may_begin(self, job: Job) -> bool:
+        """Whether an attempt of its job may begin (`Responder.may_begin`)."""
+        if job is not self.job:
+            return False  # answered, or the caller has gone
+        would_notice = self._would_notice_close()
+        if not would_notice and job is self.job:
+            self.withdraw_job()
+        return would_notice and job is self.job
+
+    def withdraw_job(self) -> None:
+        """Refuses its job, as the caller could have gone unnoticed."""
+        assert self.job is not None
+        log_event("callers", f"request refused: {UNREAD_INPUT_REASON}", request=self.job.request_id)
+        self.http_server.dispatcher.withdraw(self.job)
+
     def _would_notice_close(self) -> bool:
         """Receives what the caller has sent behind the current request, as far as it may be read ahead. Returns whether
         a close by the caller could be noticed now; if so, and it has closed, the connection is closed."""
-        if not self._reader_lags:
-            return not self.closed
+        give_up_at = 0
         try:
-            while self._reader_lags and self._read_chunk_ahead():
-                gevent.sleep(0)  # the others must not wait until much has been read
-            has_closed = self.closed or self._reader_lags and self._has_peer_closed
+            while not self.closed and self._has_input_or_close:
+                if self._has_peer_closed:
+                    self.close()
+                elif self._reader_lags and not self._read_chunk_ahead():
+                    return False
+                give_up_at = give_up_at or clock() + READ_BEHIND_TIMEOUT_US
+                if clock() >= give_up_at:
+                    return False
+                gevent.sleep(0)  # for the others, and for the reader where that goes on
         except OSError:  # reset
-            has_closed = True
-        if has_closed:
             self.close()
-        return not has_closed and not (self._reader_lags and self.has_unread_input)
+        return not self.closed
 
     @property
     def _reader_lags(self) -> bool:
@@ -617,7 +653,7 @@
         if self.http_server.memory.exhausted:
             return self._refuse(request, "no memory is left")
         if not self._would_notice_close():
-            return self._refuse(request, "more was sent behind it than may be read ahead")
+            return self._refuse(request, UNREAD_INPUT_REASON)
         headers = request.headers
         forwarded_headers = tuple(
             (name.title(), headers[name]) for name in FORWARDED_HEADERS if name in headers
@@ -797,6 +833,8 @@
             connection.read_ahead()
             if connection.disconnected:
                 connection.close()
+            elif connection.could_leave_unnoticed:
+                connection.withdraw_job()
         except OSError:  # reset
             connection.close()
 
--- a/slatehub/nodes/http1.py
+++ b/slatehub/nodes/http1.py
@@ -416,7 +416,7 @@
                 gevent.sleep(wait / 1e6)
                 continue
             connection = self.connection = connection or self._connect(node)
-            if connection is None or self._is_obsolete:
+            if connection is None or not attempt.job.responder.may_begin(attempt.job) or self._is_obsolete:
                 break
             if connection.address != node.address:
                 connection.close()  # the node has moved meanwhile: another process may be at its old address
--- a/slatelab/model/connection_balancer.py
+++ b/slatelab/model/connection_balancer.py
@@ -60,6 +60,9 @@
         self.served = True
         self.proxy.client_listener.answer(self, answer)
 
+    def may_begin(self, job: Job) -> bool:
+        return True
+
     def connection_requested(self) -> None:
         proxy = self.supervisor.proxy
         if proxy is None or not proxy.client_listener.listening:
--- a/slatelab/model/downstream_calls.py
+++ b/slatelab/model/downstream_calls.py
@@ -89,6 +89,9 @@
         self._release_job()
         self._send_back(*http_response(answer))
 
+    def may_begin(self, job: Job) -> bool:
+        return True
+
     def broken(self) -> None:
         """The proxy has ended while the call was open."""
         self.node.clock.call_at(self.node.clock.now + LOOPBACK_US, self._connection_reset)
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -39,6 +39,9 @@
     def answer(self, job: Job, answer: Answer) -> None:
         raise AssertionError("the dispatcher itself delivers nothing")
 
+    def may_begin(self, job: Job) -> bool:
+        return True
+
 
 class DispatcherModel(RuleBasedStateMachine):
     def __init__(self) -> None:
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -268,6 +268,59 @@
         conn.close()
 
 
+SMALL_LIMITS = {"cores": 1.0, "memory_mb": 32, "sockets": 256}
+
+
+def send_much(conn: socket.socket) -> None:
+    """Sends requests of 15 MB together, or until nothing more is taken for 0.3 s."""
+    data = b"".join(request("ok", body=bytes(30_000)) for _ in range(500))
+    conn.settimeout(0.3)
+    with suppress(TimeoutError):
+        conn.sendall(data)
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_a_caller_that_leaves_behind_more_than_is_read_ahead_while_it_waits_is_not_sent_on(
+    tmp_path: Path, may_cancel: bool
+) -> None:
+    config = patient_settings(may_cancel=may_cancel)
+    with (
+        running_proxy(tmp_path, settings=config, limits=SMALL_LIMITS) as p,
+        ThreadPoolExecutor() as pool,
+    ):
+        busy = pool.submit(p.program.request, request("wait", X_Request_ID="first"))
+        assert p.nodes[0].held.acquire(timeout=20)
+        conn = p.program.connect()
+        conn.sendall(request("ok", X_Request_ID="left"))
+        time.sleep(0.2)  # it waits for the node
+        send_much(conn)
+        conn.close()
+        p.nodes[0].release.set()
+        assert busy.result(20)[0] == 200
+        assert p.program.request(request("ok", X_Request_ID="last"))[0] == 200
+        assert request_ids(p) == ["first", "last"]
+
+
+def test_a_waiting_request_is_refused_at_once_when_more_follows_it_than_is_read_ahead(
+    tmp_path: Path,
+) -> None:
+    with (
+        running_proxy(tmp_path, settings=patient_settings(), limits=SMALL_LIMITS) as p,
+        ThreadPoolExecutor() as pool,
+    ):
+        busy = pool.submit(p.program.request, request("wait", X_Request_ID="first"))
+        assert p.nodes[0].held.acquire(timeout=20)
+        with p.program.connect() as conn:
+            conn.sendall(request("ok", X_Request_ID="refused"))
+            time.sleep(0.2)
+            send_much(conn)
+            conn.settimeout(5)
+            assert read_response(conn)[0] == 503
+        p.nodes[0].release.set()
+        assert busy.result(20)[0] == 200
+        assert "refused" not in request_ids(p)
+
+
 def test_pipelined_requests_are_answered_in_order_and_bounded(tmp_path: Path) -> None:
     """Each request behind a waiting one gets its own answer; the proxy buffers a bounded amount of pipelined data."""
     limits = {"cores": 1.0, "memory_mb": 64, "sockets": 256}
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -178,6 +178,9 @@
     def answer(self, job: Job, answer: Answer) -> None:
         self.answers.append((job.request_id, answer))
 
+    def may_begin(self, job: Job) -> bool:
+        return True
+
     def send(self, attempt: Attempt) -> None:
         self.attempts.append(attempt)
 
--- a/tests/test_other_customers.py
+++ b/tests/test_other_customers.py
@@ -101,6 +101,9 @@
     def answer(self, job: Job, answer: Answer) -> None:
         raise AssertionError("the dispatcher itself delivers nothing")
 
+    def may_begin(self, job: Job) -> bool:
+        return True
+
 
 class ProxySimulation:
     """A dispatcher under these settings on virtual time; every event is derived from the seed."""
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -218,6 +218,21 @@
         assert running.rig.driver.job_table.last_number == begun <= 2
 
 
+def test_an_order_is_served_though_its_caller_sends_more_all_the_time() -> None:
+    with service(node_time_s=0.02) as running, narrow_connection(running) as caller:
+        sender = gevent.spawn(caller.sendall, b"".join(order(f"order-{n}", 400_000) for n in range(4)))
+        assert read_answers(caller, 4) == [(200, f"order-{n}") for n in range(4)]
+        sender.join()
+
+
+def test_an_order_is_refused_where_what_follows_it_never_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server, "READ_BEHIND_TIMEOUT_US", 0)
+    with service(node_time_s=0.02) as running, narrow_connection(running) as caller:
+        sender = gevent.spawn(caller.sendall, order("first") + order("second", 4_000_000))
+        assert read_answers(caller, 1) == [(503, "refused\n")]
+        sender.kill()
+
+
 def test_requests_with_more_behind_them_than_is_read_ahead_are_refused_and_the_last_ones_served(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -43,6 +43,9 @@
 class IgnoringFront:
     def answer(self, job: Job, answer: Answer) -> None: ...
 
+    def may_begin(self, job: Job) -> bool:
+        return True
+
 
 class RecordedRun:
     """A dispatcher under load with a recorder, without a clock or a socket."""
