--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -98,6 +98,7 @@
 }  # fmt: skip
 # SO_LINGER value that makes close() send RST. A FIN would make a truncated response without a length look complete.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+BROKEN_EVENTS = select.POLLHUP | select.POLLERR
 
 
 def unacknowledged_bytes(sock: Any) -> int:
@@ -121,6 +122,8 @@
     def __init__(self, http_server: HttpServer, sock: Any) -> None:
         self.http_server = http_server
         self.sock = sock
+        self.socket_poll = select.poll()
+        self.socket_poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
         self.idle_since = clock()  # when it was accepted or the last response was complete
         self.fresh = True  # no request has been served yet
         self.buffered_bytes = 0  # this connection's share of the memory held, without large bodies
@@ -209,9 +212,7 @@
     @property
     def _readable(self) -> bool:
         """Whether the socket has data or an end of file to receive."""
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return bool(self._socket_events & (select.POLLIN | BROKEN_EVENTS))
 
     @property
     def disconnected(self) -> bool:
@@ -230,16 +231,18 @@
     @property
     def _has_input_or_close(self) -> bool:
         """Whether the socket has data to receive, or the caller has closed it."""
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLIN | select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return bool(self._socket_events)
 
     @property
     def _has_peer_closed(self) -> bool:
         """Whether the caller's FIN or reset has arrived, perhaps behind unread bytes."""
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return bool(self._socket_events & (select.POLLRDHUP | BROKEN_EVENTS))
+
+    @property
+    def _socket_events(self) -> int:
+        """What the socket is ready for, as a mask of `select`; 0 once it is closed."""
+        events = [] if self.closed else self.socket_poll.poll(0)
+        return events[0][1] if events else 0
 
     @contextmanager
     def _reader_paused(self) -> Iterator[None]:
