The time in the accept queue is measured, bounded and kept short

Cause: one connection was accepted in each turn of the event loop. 180 answers to clients that read nothing make a turn 12 ms long; some 100 connections a second were accepted while 280 waited. Nobody knew how long: a request counted from when it was read, and the bound on the wait only held while no connection could be closed to make room, which is never so beside idle ones.

Change: the system tells how long the last data of a connection has lain there (TCP_INFO), and the time of a request counts from then. One that has waited for half of the shortest deadline, 2 s at most, is closed unread, as before where all connections are in use; not after a stall of the process. From a quarter of that on, connections are accepted for up to 2 ms in one turn. The choice of the connection that makes room takes one pass, which ends at the first one that was never used, in place of a list of all idle ones and up to four passes; the order is the same.

Tests: three of five rows in test_fairness.py fail before (an attempt begins for a request whose time is over; no reset; one connection a turn), two guard what must stay.

--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -14,6 +14,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, nullcontext
+from enum import IntEnum
 from typing import Any
 
 import gevent
@@ -33,7 +34,7 @@
 from ...drivers.dispatcher import DispatcherDriver
 from ...observe.log import error_location, log_event
 from ...settings.reader import Address, ProxyConfig
-from ..listener import listen
+from ..listener import has_input, listen, since_last_data_us
 from ..responses import STATUS_CODES, error_body, retry_after_value
 from ..validation import (
     FORWARDED_HEADERS,
@@ -81,6 +82,10 @@
 MAX_ACCEPT_WAIT_US = 2_000_000
 MAX_CLOSED_UNREAD = 1024  # at once
 ACCEPT_BACKLOG_US = 200_000  # after all were in use, until those that waited are accepted
+MIN_ACCEPT_WAIT_US = 10_000  # from here on the time that input has waited in the accept queue counts
+# From this part of the longest wait on, several connections are accepted in one turn of the event loop.
+LONG_ACCEPT_WAIT_DIVISOR = 4
+ACCEPT_TURN_US = 2_000  # for which that goes on without a turn for the others
 TURN_US = 1_000  # for which a large body is read without a turn for the others
 MIN_EVICTION_AGE_US = 200_000  # the first request of a younger connection may still be in transit
 MAX_QUEUED_REQUESTS = 1  # parsed pipelined requests per connection; later ones stay in the kernel buffer
@@ -116,6 +121,15 @@
     return response.body_stream if isinstance(response, NodeResponse) else None
 
 
+class EvictionRank(IntEnum):
+    """Connections that may be closed to make room for a new one, the most dispensable first."""
+
+    UNUSED = 0  # open for a while without a request
+    IDLE = 1  # between two requests
+    NEW = 2  # without a request yet
+    INCOMPLETE = 3  # its request is not whole and so not accepted yet
+
+
 class CallerConnection:
     """A caller's connection. One greenlet reads and parses requests, another serves them in order."""
 
@@ -162,6 +176,17 @@
         """Whether a complete request has been parsed that is not answered yet."""
         return self.serving or self.requests.qsize() > 0 or bool(self.parser.parsed)
 
+    def eviction_rank(self, cutoff: int) -> EvictionRank | None:
+        """How dispensable it is; None: it is not. `cutoff`: the first request on a connection that has been accepted
+        since may still be in transit."""
+        if self.has_unanswered_request:
+            return None
+        if self.parser.in_request:
+            return EvictionRank.INCOMPLETE
+        if not self.fresh:
+            return EvictionRank.IDLE
+        return EvictionRank.UNUSED if self.idle_since < cutoff else EvictionRank.NEW
+
     def answer(self, job: Job, answer: Answer) -> None:
         """Takes the final answer of a job; the handler greenlet writes it."""
         # An answer for a request that has already ended here must not answer the next one.
@@ -946,24 +971,30 @@
     @property
     def _has_waiting_connection(self) -> bool:
         """Whether a connection waits in the accept queue."""
-        poll = select.poll()
-        poll.register(self.listener.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return has_input(self.listener)
+
+    @property
+    def _max_accept_wait_us(self) -> int:
+        """How long a request may have waited in the accept queue. After that its connection is closed unread: it counts
+        as not taken, while an answer after its time would be late."""
+        shortest_us = min(kind.deadline_us for kind in self.config.settings.classes)
+        return min(MAX_ACCEPT_WAIT_US, shortest_us // 2)
+
+    @staticmethod
+    def _close_unread(sock: Any) -> None:
+        # A reset says that nothing was read; a FIN could cross the request and look like an answer left out.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        sock.close()
 
     def _limit_accept_wait(self) -> None:
-        """Called while all connections are in use and one waits. Closes those that have waited for long, unread: their
-        requests count as not taken, while an answer after their time would be late."""
+        """Called while all connections are in use and one waits. Closes those that have waited for long, unread."""
         now = self.full_until = clock()
         self.full_since = self.full_since or now
-        shortest_us = min(kind.deadline_us for kind in self.config.settings.classes)
-        if now - self.full_since < min(MAX_ACCEPT_WAIT_US, shortest_us // 2):
+        if now - self.full_since < self._max_accept_wait_us:
             return
         closed = 0
         while closed < MAX_CLOSED_UNREAD and self._has_waiting_connection:
-            sock = self.listener.accept()[0]
-            # A reset says that nothing was read; a FIN could cross the request and look like an answer left out.
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            sock.close()
+            self._close_unread(self.listener.accept()[0])
             closed += 1
         self.full_since = 0
         reason = "memory is full" if self.memory.critical else "all connections are in use"
@@ -975,17 +1006,9 @@
                 # A connection is evicted only when a new one is waiting. An accepted socket gets its CallerConnection
                 # at once, because a complete request may already have arrived on it.
                 socket.wait_read(self.listener.fileno())
-                self._wait_for_accept_limiter()
-                while not self._make_room():
-                    self._limit_accept_wait()
-                    gevent.sleep(0.02)  # all are busy; new connections wait in the accept queue
-                if self.full_since and clock() - self.full_until > ACCEPT_BACKLOG_US:
-                    self.full_since = 0
-                connection = self._add_connection(self.listener.accept()[0])
-                if self.full_since:
-                    connection.receipt_clock.left_unread(self.full_since)
-                if not self._has_waiting_connection:
-                    self.full_since = 0
+                turn_ends_at = clock() + ACCEPT_TURN_US
+                while self._accept_next() and clock() < turn_ends_at:
+                    pass
             except OSError as error:
                 if self.listener.fileno() < 0:
                     return
@@ -997,6 +1020,30 @@
                 continue
             gevent.sleep(0)  # many new connections must not delay the open ones
 
+    def _accept_next(self) -> int:
+        """Accepts the next connection once there is room for it. Returns whether others wait that should be accepted in
+        the same turn of the event loop, as it has waited long."""
+        self._wait_for_accept_limiter()
+        while not self._make_room():
+            self._limit_accept_wait()
+            gevent.sleep(0.02)  # all are busy; new connections wait in the accept queue
+        if self.full_since and clock() - self.full_until > ACCEPT_BACKLOG_US:
+            self.full_since = 0
+        sock = self.listener.accept()[0]
+        waited_us = since_last_data_us(sock)
+        was_stalled = self.stall_detector.max_unread_us(clock()) > 0
+        if waited_us >= self._max_accept_wait_us and not was_stalled and has_input(sock):
+            self._close_unread(sock)
+            log_event("callers", "the accept queue is long: closed a new connection unread", "warning")
+        else:
+            connection = self._add_connection(sock)
+            if waited_us >= MIN_ACCEPT_WAIT_US and has_input(sock):
+                connection.receipt_clock.left_unread(clock() - waited_us)
+        if not self._has_waiting_connection:
+            self.full_since = 0
+            return False
+        return waited_us >= self._max_accept_wait_us // LONG_ACCEPT_WAIT_DIVISOR
+
     def _wait_for_accept_limiter(self) -> None:
         """Leaves new connections in the accept queue while there are too many, so that open ones are served."""
         while self.config.operator.storms.pace and not self.accept_limiter.acquire(
@@ -1011,21 +1058,19 @@
         return not is_full or self._evict_connection()
 
     def _evict_connection(self) -> bool:
-        """Closes one dispensable connection and returns whether there was one. In this order: one that has been open
-        for a while without a request, the least recently used idle one, a new one, and one whose request is incomplete
-        and so not accepted yet. Callers that send nothing or only a few bytes must neither keep others out nor cost
-        them their connections."""
+        """Closes the least recently used one of the most dispensable connections (`EvictionRank`) and returns whether
+        there was one. Callers that send nothing or only a few bytes must neither keep others out nor cost them their
+        connections."""
         cutoff = clock() - MIN_EVICTION_AGE_US
-        idle_connections = [s for s in self.connections if s.idle]
-        candidates = (
-            (s for s in idle_connections if s.fresh and s.idle_since < cutoff),
-            (s for s in idle_connections if not s.fresh),
-            iter(idle_connections),
-        )
-        victim = next((s for group in candidates for s in group if s.input_empty), None)
-        victim = victim or next(
-            (s for s in self.connections if not (s.idle or s.has_unanswered_request)), None
-        )
+        first_by_rank: dict[EvictionRank, CallerConnection] = {}
+        for connection in self.connections:
+            rank = connection.eviction_rank(cutoff)
+            if rank is not None and rank not in first_by_rank:
+                if rank is EvictionRank.INCOMPLETE or connection.input_empty:
+                    first_by_rank[rank] = connection
+                if EvictionRank.UNUSED in first_by_rank:
+                    break
+        victim = first_by_rank[min(first_by_rank)] if first_by_rank else None
         if victim:
             state = "it was idle" if victim.idle else "its request was not whole"
             log_event("callers", f"connection closed to make room for a new one: {state}")
--- a/slatehub/fronts/listener.py
+++ b/slatehub/fronts/listener.py
@@ -1,7 +1,10 @@
-"""Creates the listening socket of a front. Accepting connections is the front's job."""
+"""Creates the listening socket of a front, and says how long what came on an accepted one has waited. Accepting
+connections is the front's job."""
 
 from __future__ import annotations
 
+import select
+import sys
 from typing import Any
 
 from gevent import socket
@@ -9,6 +12,9 @@
 from ..settings.reader import Address
 
 BACKLOG = 1024  # connections
+LAST_DATA_RECEIVED_OFFSET = (
+    52  # of tcpi_last_data_recv in struct tcp_info (linux/tcp.h): milliseconds, 4 bytes
+)
 
 
 def listen(address: Address, shared: bool = False) -> Any:
@@ -26,3 +32,20 @@
         listener.close()
         raise
     return listener
+
+
+def since_last_data_us(sock: Any) -> int:
+    """How long ago the system received the last data of a TCP connection, or the connection itself if there was none,
+    in microseconds; 0 if that is not known, as of a connection that is broken."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED_OFFSET + 4)
+    except OSError:
+        return 0
+    return 1000 * int.from_bytes(info[LAST_DATA_RECEIVED_OFFSET:], sys.byteorder)
+
+
+def has_input(sock: Any) -> bool:
+    """Whether a socket has data or an end of file to receive; of a listener, whether a connection can be accepted."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 from pathlib import Path
+from typing import Any
 
 import gevent
 import pytest
@@ -17,6 +18,7 @@
 
 from paddlestep.interface import Entry, ListKind, Status
 from slatehub.core.jobs import NodeResponse
+from slatehub.decisions.stall import StallDetector
 from slatehub.drivers.clock import clock
 from slatehub.drivers.pipe import Pipe
 from slatehub.fronts.http1 import server
@@ -26,7 +28,7 @@
     MIN_CHUNKED_SLICE_BYTES,
     RequestParser,
 )
-from slatehub.fronts.http1.server import ACCEPT_BACKLOG_US, MAX_ACCEPT_WAIT_US, CallerConnection
+from slatehub.fronts.http1.server import ACCEPT_BACKLOG_US, MAX_ACCEPT_WAIT_US, CallerConnection, HttpServer
 
 IN_FLIGHT = 500  # requests of the bad caller on its connection
 CALL_TIMEOUT = "2000m"  # X-Timeout of the usual callers
@@ -249,3 +251,57 @@
             with pytest.raises(ConnectionResetError):
                 first.recv(100)
         http_server.acceptor.kill()
+
+
+@contextmanager
+def queued_callers(data: bytes, count: int = 1) -> Iterator[tuple[HttpServer, DispatcherRig, list[Any]]]:
+    """A server that has not accepted these callers yet, though they have sent this 0.3 s ago."""
+    rig = DispatcherRig()
+    rig.driver.update_nodes(ListKind.FULL, 1, (Entry(1),))
+    http_server = make_server(rig, max_connections=99)
+    with open_listener() as listener, gevent.Timeout(20):
+        callers = [create_connection(listener.getsockname()) for _ in range(count)]
+        for caller in callers:
+            caller.sendall(data)
+        gevent.sleep(0.3)
+        http_server.stall_detector = StallDetector(clock())
+        http_server.start(listener)
+        yield http_server, rig, callers
+        http_server.acceptor.kill()
+        for caller in callers:
+            caller.close()
+
+
+def test_the_time_of_a_request_counts_while_it_waits_behind_others_to_be_accepted() -> None:
+    data = request_head("a").replace(b"60000m", b"200m")
+    with queued_callers(data) as (_, rig, callers):
+        assert callers[0].recv(100).startswith(b"HTTP/1.1 50")
+        assert not rig.attempts
+
+
+@pytest.mark.parametrize("data, is_closed", [(request_head("a"), True), (b"", False)])
+def test_a_request_that_has_waited_too_long_behind_others_is_closed_unread(
+    monkeypatch: pytest.MonkeyPatch, data: bytes, is_closed: bool
+) -> None:
+    monkeypatch.setattr(server, "MAX_ACCEPT_WAIT_US", 150_000)
+    with queued_callers(data) as (http_server, rig, callers):
+        gevent.sleep(0.1)
+        assert not rig.attempts and len(http_server.connections) == (not is_closed)
+        if is_closed:
+            with pytest.raises(ConnectionResetError):
+                callers[0].recv(100)
+
+
+@pytest.mark.parametrize("long_wait_divisor, are_together", [(4, True), (1, False)])
+def test_connections_that_have_waited_long_are_accepted_together(
+    monkeypatch: pytest.MonkeyPatch, long_wait_divisor: int, are_together: bool
+) -> None:
+    monkeypatch.setattr(server, "MAX_ACCEPT_WAIT_US", 400_000)
+    monkeypatch.setattr(server, "LONG_ACCEPT_WAIT_DIVISOR", long_wait_divisor)
+    monkeypatch.setattr(server, "ACCEPT_TURN_US", 10_000_000)
+    with queued_callers(b"", count=20) as (http_server, _, _):
+        counts = set()
+        while len(http_server.connections) < 20:
+            gevent.sleep(0)
+            counts.add(len(http_server.connections))
+        assert (counts <= {0, 20}) == are_together
