Soak: an arrival counts against the request that was sent by then

Now an arrival counts from when the client began to send this request; what arrives between that and the close breaks the rule as before (the new test has both).

--- a/slatelab/soak/checks.py
+++ b/slatelab/soak/checks.py
@@ -71,9 +71,11 @@
         for request in record.requests
         if request.read_and_closed
     ]
-    closes = {r.request_id: r.unanswered_close_at for r in record.requests if r.unanswered_close_at}
+    closed = {r.request_id: r for r in record.requests if r.unanswered_close_at}
     for arrived_at, request_id in record.arrivals:
-        if arrived_at < closes.get(request_id, 0.0):
+        request = closed.get(request_id)
+        # What arrived before was another request of this id.
+        if request and request.began_at <= arrived_at < request.unanswered_close_at:
             violations.append(Violation("lost", f"{request_id}: sent on, and closed with no answer"))
     return violations
 
--- a/slatelab/soak/clients.py
+++ b/slatelab/soak/clients.py
@@ -147,6 +147,7 @@
             spec.timeout_s,
             must_be_served=spec.must_be_served,
             long_answer=spec.may_be_long,
+            began_at=now(),
         )
         for _ in range(2):
             request.sent_at = 0.0
--- a/slatelab/soak/records.py
+++ b/slatelab/soak/records.py
@@ -18,6 +18,7 @@
     request_id: str
     safe: bool  # whether it may run more than once
     timeout_s: float
+    began_at: float = 0.0  # the client began to send it for the first time
     sent_at: float = 0.0  # its last byte was written
     closed_at: float = 0.0  # the client closed its connection before the answer
     unanswered_close_at: float = (
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -57,6 +57,13 @@
     assert rules(Record([request], arrivals=[(10.7, "a")])) == []
 
 
+def test_an_earlier_request_of_the_same_id_was_not_the_one_that_was_closed() -> None:
+    request = answered()
+    request.began_at, request.unanswered_close_at = 9.9, 10.5
+    assert rules(Record([request], arrivals=[(9.8, "a")])) == []
+    assert rules(Record([request], arrivals=[(9.95, "a")])) == ["lost"]
+
+
 @pytest.mark.parametrize("safe, broken", [(True, []), (False, ["duplicate"])])
 def test_an_unsafe_request_that_ran_twice_is_a_duplicate(safe: bool, broken: list[str]) -> None:
     runs = [Execution("a", node, 10.1, 10.2) for node in ("s-0", "s-1")]
