New connections are accepted one in a turn again; those too old are closed together

Now one connection is kept in each turn, as ever, and those whose request has waited too long are closed unread without a turn in between, up to 64, so that younger ones behind them come first.

--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -82,10 +82,8 @@
 MAX_ACCEPT_WAIT_US = 2_000_000
 MAX_CLOSED_UNREAD = 1024  # at once
 ACCEPT_BACKLOG_US = 200_000  # after all were in use, until those that waited are accepted
-MIN_ACCEPT_WAIT_US = 10_000  # from here on the time that input has waited in the accept queue counts
-# From this part of the longest wait on, several connections are accepted in one turn of the event loop.
-LONG_ACCEPT_WAIT_DIVISOR = 4
-ACCEPT_TURN_US = 2_000  # for which that goes on without a turn for the others
+MIN_ACCEPT_WAIT_US = 10_000  # from which on the time that input has waited in the accept queue counts
+MAX_CLOSED_PER_TURN = 64  # new connections that have waited too long, without a turn for the others
 TURN_US = 1_000  # for which a large body is read without a turn for the others
 MIN_EVICTION_AGE_US = 200_000  # the first request of a younger connection may still be in transit
 MAX_QUEUED_REQUESTS = 1  # parsed pipelined requests per connection; later ones stay in the kernel buffer
@@ -1006,9 +1004,9 @@
                 # A connection is evicted only when a new one is waiting. An accepted socket gets its CallerConnection
                 # at once, because a complete request may already have arrived on it.
                 socket.wait_read(self.listener.fileno())
-                turn_ends_at = clock() + ACCEPT_TURN_US
-                while self._accept_next() and clock() < turn_ends_at:
-                    pass
+                for _ in range(MAX_CLOSED_PER_TURN):
+                    if self._accept_next() or not self._has_waiting_connection:
+                        break
             except OSError as error:
                 if self.listener.fileno() < 0:
                     return
@@ -1021,8 +1019,8 @@
             gevent.sleep(0)  # many new connections must not delay the open ones
 
     def _accept_next(self) -> int:
-        """Accepts the next connection once there is room for it. Returns whether others wait that should be accepted in
-        the same turn of the event loop, as it has waited long."""
+        """Accepts the next connection once there is room for it. Returns whether it is kept: one whose request has
+        waited too long is closed unread."""
         self._wait_for_accept_limiter()
         while not self._make_room():
             self._limit_accept_wait()
@@ -1032,17 +1030,16 @@
         sock = self.listener.accept()[0]
         waited_us = since_last_data_us(sock)
         was_stalled = self.stall_detector.max_unread_us(clock()) > 0
+        if not self._has_waiting_connection:
+            self.full_since = 0
         if waited_us >= self._max_accept_wait_us and not was_stalled and has_input(sock):
             self._close_unread(sock)
             log_event("callers", "the accept queue is long: closed a new connection unread", "warning")
-        else:
-            connection = self._add_connection(sock)
-            if waited_us >= MIN_ACCEPT_WAIT_US and has_input(sock):
-                connection.receipt_clock.left_unread(clock() - waited_us)
-        if not self._has_waiting_connection:
-            self.full_since = 0
             return False
-        return waited_us >= self._max_accept_wait_us // LONG_ACCEPT_WAIT_DIVISOR
+        connection = self._add_connection(sock)
+        if waited_us >= MIN_ACCEPT_WAIT_US and has_input(sock):
+            connection.receipt_clock.left_unread(clock() - waited_us)
+        return True
 
     def _wait_for_accept_limiter(self) -> None:
         """Leaves new connections in the accept queue while there are too many, so that open ones are served."""
