--- a/slatehub/decisions/memory_pressure.py
+++ b/slatehub/decisions/memory_pressure.py
@@ -37,7 +37,6 @@
 
     def __init__(self, limit: int, reserved: int) -> None:
         self.set_limits(limit, reserved)
-        self.excess = 0  # bytes of the overhead that were not planned for, at the last measurement
         self.release_interval_us = MIN_RELEASE_INTERVAL_US
         self._last_release_at = -MAX_RELEASE_INTERVAL_US
 
@@ -55,11 +54,9 @@
         """Whether only the margin is left beside so many bytes of private memory."""
         return private > self.limit - self.margin
 
-    def update(self, reading: MemoryReading) -> int:
-        """Notes a measurement. Returns the bytes of the overhead that were not planned for: requests have to do with so
-        much less."""
-        self.excess = max(0, reading.overhead - self.planned_overhead)
-        return self.excess
+    def excess(self, reading: MemoryReading) -> int:
+        """The bytes of the overhead that were not planned for: requests have to do with so much less."""
+        return max(0, reading.overhead - self.planned_overhead)
 
     def release_due(self, now: int, reading: MemoryReading) -> bool:
         """Whether free memory should be given back to the system at this time (microseconds)."""
--- a/slatehub/drivers/memory_monitor.py
+++ b/slatehub/drivers/memory_monitor.py
@@ -60,7 +60,7 @@
         if pressure.release_due(clock(), reading):
             reading = self._release(reading)
         had_excess, was_critical = self.memory.excess > 0, self.memory.critical
-        self.memory.set_excess(pressure.update(reading))
+        self.memory.set_excess(pressure.excess(reading))
         self.memory.critical = pressure.is_critical(reading.private)
         self.memory.next_measurement = self.memory.held + pressure.margin // MEASUREMENTS_PER_MARGIN
         self._log_changes(reading, had_excess, was_critical)
--- a/slatehub/fronts/http1/request_parser.py
+++ b/slatehub/fronts/http1/request_parser.py
@@ -130,10 +130,14 @@
         if self.error:
             self.reject(self.error)
 
-    def reject(self, error: LocalResponse) -> None:
-        """Ends parsing with an error response and discards the incomplete request."""
+    def end_with(self, error: LocalResponse) -> None:
+        """Ends parsing: this is the answer to the request that is incomplete."""
         self.rejected_request_id = self.headers.get("x-request-id", "")
         self.error = error
+
+    def reject(self, error: LocalResponse) -> None:
+        """Ends parsing with an error response and discards the incomplete request."""
+        self.end_with(error)
         self.parsed.append(error)
         self.bytes_read = 0
         self._clear()
--- a/slatehub/fronts/http1/server.py
+++ b/slatehub/fronts/http1/server.py
@@ -396,10 +396,11 @@
             # The caller has sent more, and the reader has not got to it yet: it sets the next timeout.
             self._set_timeout(clock() + UNREAD_INPUT_GRACE_US, self._on_request_timeout)
         elif not self.parser.error:
-            self.parser.error = LocalResponse(408, "request not finished in time")
+            timed_out = LocalResponse(408, "request not finished in time")
+            self.parser.end_with(timed_out)
             self.reader.kill(block=False)
             self.http_server.mark_reader_paused(self)
-            gevent.spawn(self.requests.put, self.parser.error)
+            gevent.spawn(self.requests.put, timed_out)
 
     def _update_buffered_bytes(self) -> None:
         """Updates the server's count of bytes held. A request that exceeds the memory limit is rejected before it is
--- a/slatelab/soak/crowd.py
+++ b/slatelab/soak/crowd.py
@@ -96,7 +96,7 @@
     await receive(sock)
 
 
-async def unended_bodies(spec: CrowdSpec, random: Random, sock: socket.socket, number: int) -> None:
+async def unfinished_bodies(spec: CrowdSpec, random: Random, sock: socket.socket, number: int) -> None:
     """A request with a stated length but for its last byte; then nothing more."""
     await send(sock, head_start(number, random) + f"Content-Length: {spec.size}\r\n\r\n".encode())
     await send(sock, bytes(spec.size - 1))
@@ -215,7 +215,7 @@
 BEHAVIOURS: dict[str, Member] = {
     f.__name__: f
     for f in (
-        slow_heads, whole_heads, stopped_bodies, unended_bodies, slow_bodies, small_chunks, slow_readers,
+        slow_heads, whole_heads, stopped_bodies, unfinished_bodies, slow_bodies, small_chunks, slow_readers,
         stopped_readers, pipelined, idle, flood_unknown_class, flood_new_names, flood_no_time, flood_unsound,
     )
 }  # fmt: skip
--- a/slatelab/soak/pictures.py
+++ b/slatelab/soak/pictures.py
@@ -34,7 +34,7 @@
 WAVE_SIZES = {
     **CROWD_SIZES,
     "slow_bodies": (30_000, 64_000, 120_000),
-    "unended_bodies": (64_000, 261_120, 4_194_304),
+    "unfinished_bodies": (64_000, 261_120, 4_194_304),
 }
 WAVES_PER_RUN = 4
 FLOODS = ("flood_unknown_class", "flood_new_names", "flood_no_time", "flood_unsound")
--- a/tests/test_memory_after_crowds.py
+++ b/tests/test_memory_after_crowds.py
@@ -22,7 +22,7 @@
 
 @pytest.mark.parametrize("memory_mb", [64, 96])
 def test_memory_that_one_crowd_leaves_behind_does_not_add_to_that_of_the_next(memory_mb: int) -> None:
-    play_waves(memory_mb, "slow_bodies:580:64000", "unended_bodies:580:261120")
+    play_waves(memory_mb, "slow_bodies:580:64000", "unfinished_bodies:580:261120")
 
 
 def test_a_process_that_is_replaced_beside_a_crowd_leaves_room_for_its_successor() -> None:
--- a/tests/test_memory_pressure.py
+++ b/tests/test_memory_pressure.py
@@ -12,7 +12,8 @@
 import gevent
 import pytest
 from gevent import socket
-from test_line import DispatcherRig, connect_caller, make_server, request_head, run_event_loop
+from gevent.socket import create_connection
+from test_line import DispatcherRig, connect_caller, make_server, open_listener, request_head, run_event_loop
 
 from paddlestep.interface import Entry, ListKind, Status
 from slatehub.core.jobs import NodeRequest, NodeResponse
@@ -29,6 +30,7 @@
 from slatehub.drivers.pipe import Pipe
 from slatehub.drivers.process_memory import ProcessMemory
 from slatehub.drivers.upstream import UpstreamResponse, serialize_request
+from slatehub.fronts.http1 import server
 
 MB = 1 << 20
 ROOT = Path(__file__).parents[1]
@@ -63,7 +65,7 @@
 ) -> None:
     pressure = MemoryPressure(64 * MB, 20 * MB)  # 2 MB of margin
     reading = MemoryReading(private_mb * MB, counted_mb * MB, unreceived_mb * MB)
-    assert pressure.update(reading) == excess_mb * MB
+    assert pressure.excess(reading) == excess_mb * MB
 
 
 def test_a_process_is_critical_where_only_the_margin_is_left() -> None:
@@ -173,6 +175,60 @@
     caller.close()
 
 
+def test_the_log_names_the_request_that_was_not_finished_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    lines: list[tuple[str, Any]] = []
+    monkeypatch.setattr(server, "REQUEST_TIMEOUT_US", 0)
+    monkeypatch.setattr(server, "FIRST_REQUEST_TIMEOUT_US", 0)
+    monkeypatch.setattr(server, "BODY_START_TIMEOUT_US", 0)
+    monkeypatch.setattr(
+        server,
+        "log_event",
+        lambda topic, text, level="info", **fields: lines.append((topic, fields.get("request"))),
+    )
+    caller, _ = connect_caller(make_server(DispatcherRig()), request_head("a", 100))
+    assert caller.recv(100).startswith(b"HTTP/1.1 408 ")
+    assert lines == [("callers", "a")]
+    caller.close()
+
+
+def test_the_log_tells_when_memory_gets_short_and_when_that_is_over(monkeypatch: pytest.MonkeyPatch) -> None:
+    lines: list[str] = []
+    monkeypatch.setattr(
+        "slatehub.drivers.memory_monitor.log_event",
+        lambda topic, text, level="info", **fields: lines.append(text),
+    )
+    process = FakeProcessMemory(20 * MB)
+    monitor = make_monitor(MemoryBudget(18 * MB), process)
+    for used_mb in (40, 50, 63, 20):
+        process.used = used_mb * MB
+        monitor.measure()
+    assert [line for line in lines if not line.startswith("gave ")] == [
+        "private memory has passed 5/8 of the limit",
+        "private memory has passed 6/8 of the limit",
+        "memory pressure begins: requests get less memory",
+        "private memory has passed 7/8 of the limit",
+        "new connections wait: memory is full",
+        "memory pressure ends",
+        "new connections are accepted again",
+    ]
+
+
+def test_memory_is_measured_with_each_new_connection_that_may_take_much() -> None:
+    http_server = make_server(DispatcherRig())
+    measured = 0
+
+    def measure() -> None:
+        nonlocal measured
+        measured += 1
+
+    http_server.memory.on_growth = measure
+    with open_listener() as listener, create_connection(listener.getsockname()):
+        http_server._add_connection(listener.accept()[0])
+    assert measured == 1
+    for connection in list(http_server.connections):
+        connection.close()
+
+
 def test_a_new_connection_takes_the_place_of_an_idle_one_while_memory_is_full() -> None:
     http_server = make_server(DispatcherRig())
     callers = [connect_caller(http_server, b"")[0] for _ in range(2)]
