A process that is only starting is not ended by SIGHUP or SIGUSR2

The program ignores both signals from its first line on, but the interpreter takes some 20 ms until then.

Test: what `run` does before its exec is done before a program that sends itself both signals (killed before).

--- a/slatelab/soak/proxy_process.py
+++ b/slatelab/soak/proxy_process.py
@@ -21,6 +21,8 @@
 SAMPLE_INTERVAL_S = 0.005
 LAST_LOG_CHARACTERS = 500
 READY_TIMEOUT_S = 30.0  # as long as the platform waits for a proxy
+# As `run` in deploy/balancer.toml: the two signals are ignored until the program has its handlers.
+START = ("sh", "-c", 'trap \'\' HUP USR2; exec "$0" "$@"')
 SAFE_CLASS, UNSAFE_CLASS = "job-status", "order-place"
 TENANT = "cantina-etna"
 
@@ -89,7 +91,7 @@
         env |= {"EDGE_CONFIG": str(config_path), "TMPDIR": str(folder)}
         self.log = open(self.log_path, "wb")  # noqa: SIM115
         self.process = subprocess.Popen(
-            [sys.executable, "-B", "-m", "slatehub", "serve"], cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
+            [*START, sys.executable, "-B", "-m", "slatehub", "serve"], cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
             stdout=self.log, stderr=subprocess.STDOUT,
         )  # fmt: skip
         self.watcher = threading.Thread(target=self._watch, daemon=True)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import tomllib
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from types import SimpleNamespace
@@ -211,6 +212,14 @@
 """
 
 
+def test_a_signal_that_asks_for_a_reload_does_not_end_a_process_that_is_only_starting() -> None:
+    run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    before_program = run.partition("exec ")[0]
+    program = "kill -HUP $$; kill -USR2 $$; echo alive"
+    done = subprocess.run(["sh", "-c", f"{before_program}exec sh -c '{program}'"], capture_output=True)
+    assert done.stdout == b"alive\n" and run.partition("exec ")[1]
+
+
 @pytest.mark.parametrize(
     ("number", "code"), [(signal.SIGHUP, None), (signal.SIGUSR2, None), (signal.SIGTERM, -15)]
 )
