--- a/slatelab/model/proxy.py
+++ b/slatelab/model/proxy.py
@@ -31,7 +31,7 @@
     from .downstream_calls import DownstreamExchange
     from .proxy_supervisor import ProxySupervisor
 
-# Time for an answer to reach the client before its deadline; mirrors slatehub.fronts.http1.server.
+# Time for an answer to reach the client before its deadline; mirrors slatehub.fronts.http1.caller_connection.
 DEADLINE_MARGIN_US = 5_000
 MAX_NOTES = 20
 
--- a/tests/lab/test_model.py
+++ b/tests/lab/test_model.py
@@ -390,7 +390,7 @@
     """The engine mirrors constants of the proxy: it can't import them, as the proxy's modules load sockets."""
     node_list = pytest.importorskip("slatehub.discovery.node_list")
     from slatehub.drivers import upstream
-    from slatehub.fronts.http1 import server
+    from slatehub.fronts.http1 import caller_connection, server
     from slatehub.nodes import http1
     from slatelab.model import client_listener, discovery_client, node_connections, proxy
 
@@ -402,8 +402,8 @@
         upstream.LAST_BYTE_DELAY_S * 1e6,
         http1.IDLE_CLOSE_MARGIN_US,
     )
-    assert client_listener.KEEP_ALIVE_US == server.KEEP_ALIVE_US
-    assert proxy.DEADLINE_MARGIN_US == server.DELIVERY_MARGIN_US
+    assert client_listener.KEEP_ALIVE_US == caller_connection.KEEP_ALIVE_US
+    assert proxy.DEADLINE_MARGIN_US == caller_connection.DELIVERY_MARGIN_US
     for answer in (
         *map(Answer, (AnswerStatus.FAILED, AnswerStatus.DEADLINE_EXCEEDED)),
         Answer(AnswerStatus.REFUSED, None, 1_234_567),
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -131,8 +131,8 @@
     tmp_path: Path,
 ) -> None:
     # Timeouts for a lack of progress are disabled, so that only the caller's disconnect can end the response.
-    no_timeouts = "from slatehub.drivers import pipe; from slatehub.fronts.http1 import server\n"
-    no_timeouts += "pipe.STALL_TIMEOUT_S, server.RESPONSE_WRITE_TIMEOUT_US = 600, 600_000_000"
+    no_timeouts = "from slatehub.drivers import pipe; from slatehub.fronts.http1 import caller_connection\n"
+    no_timeouts += "pipe.STALL_TIMEOUT_S, caller_connection.RESPONSE_WRITE_TIMEOUT_US = 600, 600_000_000"
     with running_proxy(tmp_path, kind=LargeResponseNode, code=no_timeouts) as p:
         with p.program.connect() as conn:
             conn.sendall(build_request("endless-print", SAFE_CLASS))
--- a/tests/test_error_paths.py
+++ b/tests/test_error_paths.py
@@ -34,7 +34,7 @@
 from slatehub.discovery.node_list import NodeList
 from slatehub.drivers import pipe as pipe_module
 from slatehub.drivers.pipe import Pipe, ReaderClosed
-from slatehub.fronts.http1 import server
+from slatehub.fronts.http1 import caller_connection
 from slatehub.handover.link import ProcessLink
 from slatehub.handover.messages import MessageDecoder
 from slatehub.mgmt import server as admin_server_module
@@ -132,7 +132,7 @@
         if where == "order":
             planted.setattr(rig.dispatcher.recovery, "job_arrived", fails)
         else:
-            planted.setattr(server, "validate_request", fails)
+            planted.setattr(caller_connection, "validate_request", fails)
         caller, connection = connect_caller(http_server, REQUEST % b"a")
         assert caller.recv(1000).startswith(b"HTTP/1.1 500 ") and not rig.driver.job_table.jobs
     caller.sendall(REQUEST % b"b")
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -21,7 +21,7 @@
 from slatehub.decisions.stall import StallDetector
 from slatehub.drivers.clock import clock
 from slatehub.drivers.pipe import Pipe
-from slatehub.fronts.http1 import server
+from slatehub.fronts.http1 import caller_connection, server
 from slatehub.fronts.http1.request_parser import (
     MAX_CHUNKED_SLICE_BYTES,
     MAX_PARSE_US,
@@ -158,7 +158,7 @@
 
 def test_a_large_body_is_read_for_a_while_in_each_turn(monkeypatch: pytest.MonkeyPatch) -> None:
     """16 kB a turn left an order of megabytes waiting for seconds where hundreds of others took their turns."""
-    monkeypatch.setattr(server, "TURN_US", 10_000_000)
+    monkeypatch.setattr(caller_connection, "TURN_US", 10_000_000)
     size = 3_000_000
     rig = DispatcherRig()
     rig.driver.update_nodes(ListKind.FULL, 1, (Entry(1),))
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -38,7 +38,7 @@
 from slatehub.drivers.clock import Timer, clock
 from slatehub.drivers.dispatcher import DispatcherDriver
 from slatehub.drivers.upstream import StaleConnection, UpstreamConnection, UpstreamError
-from slatehub.fronts.http1 import server
+from slatehub.fronts.http1 import caller_connection, server
 from slatehub.fronts.http1.server import CallerConnection, HttpServer
 from slatehub.fronts.validation import ReceivedRequest
 from slatehub.nodes.http1 import NodePool, UpstreamExchange
@@ -482,7 +482,7 @@
         "KEEP_ALIVE_US",
         "BODY_START_TIMEOUT_US",
     ):
-        monkeypatch.setattr(server, name, 60_000)
+        monkeypatch.setattr(caller_connection, name, 60_000)
     rig = DispatcherRig()
     http_server = make_server(rig)
     held, _ = connect_caller(http_server, request_head("whole"))  # the job stays in hand, as there is no node
--- a/tests/test_memory_pressure.py
+++ b/tests/test_memory_pressure.py
@@ -30,7 +30,7 @@
 from slatehub.drivers.pipe import Pipe
 from slatehub.drivers.process_memory import ProcessMemory
 from slatehub.drivers.upstream import UpstreamResponse, serialize_request
-from slatehub.fronts.http1 import server
+from slatehub.fronts.http1 import caller_connection
 
 MB = 1 << 20
 ROOT = Path(__file__).parents[1]
@@ -164,7 +164,7 @@
 def test_the_log_names_the_request_that_is_rejected_for_memory(monkeypatch: pytest.MonkeyPatch) -> None:
     lines: list[tuple[str, Any]] = []
     monkeypatch.setattr(
-        "slatehub.fronts.http1.server.log_event",
+        "slatehub.fronts.http1.caller_connection.log_event",
         lambda topic, text, level="info", **fields: lines.append((topic, fields.get("request"))),
     )
     http_server = make_server(DispatcherRig(), memory_limit=8 * MB)
@@ -177,11 +177,11 @@
 
 def test_the_log_names_the_request_that_was_not_finished_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
     lines: list[tuple[str, Any]] = []
-    monkeypatch.setattr(server, "REQUEST_TIMEOUT_US", 0)
-    monkeypatch.setattr(server, "FIRST_REQUEST_TIMEOUT_US", 0)
-    monkeypatch.setattr(server, "BODY_START_TIMEOUT_US", 0)
+    monkeypatch.setattr(caller_connection, "REQUEST_TIMEOUT_US", 0)
+    monkeypatch.setattr(caller_connection, "FIRST_REQUEST_TIMEOUT_US", 0)
+    monkeypatch.setattr(caller_connection, "BODY_START_TIMEOUT_US", 0)
     monkeypatch.setattr(
-        server,
+        caller_connection,
         "log_event",
         lambda topic, text, level="info", **fields: lines.append((topic, fields.get("request"))),
     )
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -19,7 +19,7 @@
 from paddlestep.interface import Entry, ListKind, Status
 from slatehub.core.jobs import Job, NodeResponse
 from slatehub.drivers.clock import clock
-from slatehub.fronts.http1 import server
+from slatehub.fronts.http1 import caller_connection
 from slatehub.fronts.http1.receipt_clock import MAX_SYSTEM_BUFFER_BYTES, PAUSE_US, ReceiptClock
 from slatehub.fronts.http1.server import CallerConnection, HttpServer
 
@@ -100,7 +100,7 @@
 ) -> None:
     """The timeout of an unfinished request ran while the proxy itself did not read on: an order that had come whole was
     told 408, and those behind it got no answer."""
-    monkeypatch.setattr(server, "REQUEST_TIMEOUT_US", SHORT_TIMEOUT_US)
+    monkeypatch.setattr(caller_connection, "REQUEST_TIMEOUT_US", SHORT_TIMEOUT_US)
     names = [f"order-{number}" for number in range(60)]
     with service(node_time_s=0.01) as running, running.connect() as caller:
         caller.sendall(b"".join(order(name, 450) for name in names))
@@ -111,7 +111,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The timeout still holds: it runs from the moment from which the proxy waits for the caller."""
-    monkeypatch.setattr(server, "REQUEST_TIMEOUT_US", SHORT_TIMEOUT_US)
+    monkeypatch.setattr(caller_connection, "REQUEST_TIMEOUT_US", SHORT_TIMEOUT_US)
     names = [f"order-{number}" for number in range(30)]
     with service(node_time_s=0.01) as running, running.connect() as caller:
         caller.sendall(b"".join(order(name, 450) for name in names) + order("cut", 450)[:-1])
@@ -123,7 +123,7 @@
 def test_batches_of_orders_cut_anywhere_are_all_answered(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
     """1 to 200 orders of 0.1 to 20 KB, cut at random and at the ends of heads, bodies and reads, nodes fast and slow,
     callers that send with pauses shorter than the timeout; memory stays within its limit."""
-    monkeypatch.setattr(server, "REQUEST_TIMEOUT_US", SHORT_TIMEOUT_US)
+    monkeypatch.setattr(caller_connection, "REQUEST_TIMEOUT_US", SHORT_TIMEOUT_US)
     rng = random.Random(seed)
     names = [f"order-{number}" for number in range([1, 3, 28, 200][seed % 4])]
     lengths = rng.choice([[0], [0, 450], [0, 100, 1_000, 20_000]])
@@ -204,13 +204,13 @@
     monkeypatch: pytest.MonkeyPatch, resets: bool
 ) -> None:
     """Its close was noticed only once what lay before it had been read."""
-    monkeypatch.setattr(server, "MAX_READ_AHEAD_BYTES", 40_000)
+    monkeypatch.setattr(caller_connection, "MAX_READ_AHEAD_BYTES", 40_000)
     orders = b"".join(order(f"order-{number}", 3_000) for number in range(60))
     with service(node_time_s=0.2) as running, narrow_connection(running) as caller:
         caller.sendall(orders)
         gevent.sleep(0.1)
         if resets:
-            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, server.RESET_ON_CLOSE)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, caller_connection.RESET_ON_CLOSE)
         caller.close()
         gevent.sleep(0.1)
         begun = running.rig.driver.job_table.last_number
@@ -226,7 +226,7 @@
 
 
 def test_an_order_is_refused_where_what_follows_it_never_ends(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(server, "READ_BEHIND_TIMEOUT_US", 0)
+    monkeypatch.setattr(caller_connection, "READ_BEHIND_TIMEOUT_US", 0)
     with service(node_time_s=0.02) as running, narrow_connection(running) as caller:
         sender = gevent.spawn(caller.sendall, order("first") + order("second", 4_000_000))
         assert read_answers(caller, 1) == [(503, "refused\n")]
@@ -236,7 +236,7 @@
 def test_requests_with_more_behind_them_than_is_read_ahead_are_refused_and_the_last_ones_served(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(server, "MAX_READ_AHEAD_BYTES", 40_000)
+    monkeypatch.setattr(caller_connection, "MAX_READ_AHEAD_BYTES", 40_000)
     orders = b"".join(order(f"order-{number}", 3_000) for number in range(60))
     with service(node_time_s=0.02) as running, narrow_connection(running) as caller:
         caller.sendall(orders)
@@ -249,7 +249,7 @@
 def test_the_time_of_input_that_lay_unread_counts_from_when_it_was_left_there(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(server, "MAX_READ_AHEAD_BYTES", 40_000)
+    monkeypatch.setattr(caller_connection, "MAX_READ_AHEAD_BYTES", 40_000)
     sent_behind = b"".join(order(f"order-{number}", 3_000, timeout_ms=250) for number in range(60))
     with service(node_time_s=0.5) as running, narrow_connection(running) as caller:
         began_at = clock()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -34,7 +34,7 @@
 
 from slatehub.cli.main import SettingsReloader
 from slatehub.drivers.clock import clock
-from slatehub.fronts.http1 import server
+from slatehub.fronts.http1 import caller_connection
 from slatelab.reserved_address import ReservedAddress
 
 READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -94,8 +94,8 @@
     run_event_loop()
     http_server.memory.limit = 160_000 if bound == "all connections" else 10_000_000
     if bound == "one connection":
-        monkeypatch.setattr(server, "MAX_READ_AHEAD_BYTES", 40_000)
-    limit = 40_000 + server.READ_CHUNK_BYTES
+        monkeypatch.setattr(caller_connection, "MAX_READ_AHEAD_BYTES", 40_000)
+    limit = 40_000 + caller_connection.READ_CHUNK_BYTES
     connection.job = SimpleNamespace(responder=connection)  # type: ignore[assignment]
     caller.setblocking(False)
     try:
--- a/tests/test_slow_reading.py
+++ b/tests/test_slow_reading.py
@@ -16,10 +16,10 @@
 # Timeouts a tenth of what they are, for callers that are ten times as fast as the slowest that are allowed.
 TENTH = """
 from slatehub.drivers import pipe
-from slatehub.fronts.http1 import server
+from slatehub.fronts.http1 import caller_connection
 pipe.STALL_TIMEOUT_S = 1.0
-server.WRITE_WATCH_DELAY_US = 200_000
-server.RESPONSE_WRITE_TIMEOUT_US = 1_000_000 if server.RESPONSE_WRITE_TIMEOUT_US == 10_000_000 else 3_500_000
+caller_connection.WRITE_WATCH_DELAY_US = 200_000
+caller_connection.RESPONSE_WRITE_TIMEOUT_US //= 10
 """
 SLOW_BYTES_PER_S = 640_000
 STEP_S = 0.05  # between two reads
@@ -48,7 +48,7 @@
 
 def test_a_caller_that_takes_nothing_of_its_answer_loses_its_connection(tmp_path: Path) -> None:
     """It would hold a connection to a node, and a descriptor, for ever."""
-    fast = TENTH + "server.RESPONSE_WRITE_TIMEOUT_US = 500_000\n"
+    fast = TENTH + "caller_connection.RESPONSE_WRITE_TIMEOUT_US = 500_000\n"
     with running_proxy(tmp_path, kind=LargeResponseNode, code=fast) as p, p.program.connect() as conn:
         conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
         conn.sendall(build_request("endless-print", SAFE_CLASS))
