--- a/slatehub/fronts/http1/caller_connection.py
+++ b/slatehub/fronts/http1/caller_connection.py
@@ -658,7 +658,8 @@
     ) -> Answer | LocalResponse:
         if self.http_server.memory.exhausted:
             return self._refuse(request, "no memory is left")
-        if not self._would_notice_close():
+        # Each attempt looks again before it begins (`may_begin`).
+        if self._reader_lags and not self._would_notice_close():
             return self._refuse(request, UNREAD_INPUT_REASON)
         headers = request.headers
         forwarded_headers = tuple(
